--- /dev/null
+++ b/damsonpick/__init__.py
@@ -0,0 +1,1 @@
+"""damsonpick: a central planner behind a layer of plain proxies."""
--- /dev/null
+++ b/damsonpick/choice.py
@@ -0,0 +1,690 @@
+"""Every decision of damsonpick. Types, events and actions: damsonpick/interface.py.
+
+The ordinary path is HBase's StochasticLoadBalancer as the design page states it: a slop gate on slice
+count and heat per listed weight, a keep-if-cheaper search with three pickers on a copy, a move cap, and
+hottest-first publishing within the channel's budget. Everything else is an exception to it, and says so.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Iterable
+
+from damsonpick import interface as api
+
+SECOND = 1_000_000_000
+TICK = SECOND // 4  # ns between looks at the clock: well under any grace
+# -- the design's search; values the design marks "ours" and leaves open
+PERIOD = 4 * SECOND  # ns between rounds: heat moves within ten seconds or so
+SLOP = 0.3  # share off the mean that is still even: slices are lumpy
+STEP_FACTOR = 1.0  # steps per slice and endpoint
+MAX_STEPS = 6000  # steps a round: bounds the CPU of very large fleets
+MIN_GAIN = 0.002  # cost a kept step must save
+HEAT_TAU = 12.0  # s over which heat is averaged
+WARM_TAU = 15.0  # s in which an endpoint warms to a slice, or forgets it
+COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 0.6  # cost weights: heat is what queues
+MOVE_CAP = 0.05  # share of own slices that a round may move
+# -- exceptions
+HOT_SHARE = 0.6  # of an average endpoint's fair heat: a slice above this gets further lines
+COLD_HEADROOM = 1.0  # times the fair share of a cold endpoint's present capacity
+SPARE_WEIGHT = 0.02  # weight of a spare line: there to fail over to, hardly used otherwise
+EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
+MIN_TRIES = 4.0  # tries behind a verdict
+BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
+SLOW_AIM, SLOW_RATIO = 0.8, 2.5  # mean latency over this part of the aim and this many times the median
+SLOW_FROM = 1.6  # times the median latency from which weight is cut in proportion
+OUT_FIRST, OUT_MOST = 5 * SECOND, 20 * SECOND  # ns an ejected endpoint stays out, doubling
+RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
+EJECT_MOST = 0.5  # share of listed weight that may be out for health at a time
+SHED_LATENCY, CALM_LATENCY = 0.75, 0.45  # of the aim: shed above, let in again below
+SHED_FAILS = 0.15  # failing share at which an endpoint sheds
+SHED_STEP, SHED_BACK = 0.25, 0.125  # of a class a report period
+LEVEL_GRAIN = 0.25  # levels are published in steps of this
+# -- channel
+URGENT_FILL, FILL = 0.47, 0.25  # of the channel's limit: for failures and rules, for balance
+RULE_MESSAGES, FAIL_MESSAGES, MESSAGES = 1.0, 0.75, 0.5  # of the messages allowed, by urgency
+RULE, FAILURE, BALANCE = 0, 1, 2  # urgencies
+
+
+class Endpoint:
+    """What is known of one endpoint."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.zone, self.weight, self.state, self.started = name, "", 1.0, "unlisted", 0
+        self.forget()
+
+    def forget(self) -> None:
+        """Start with no evidence: first seen, or a new process under the old name."""
+        self.tries = self.fails = self.latency = 0.0  # decayed sums, mean latency in ns
+        self.heard = 0  # when evidence last came
+        self.out_until = self.back_since = 0
+        self.out_for = OUT_FIRST
+        self.shed = 0.0
+
+
+class Slice:
+    """One slice in this instance's charge: where it should live and what the store holds."""
+
+    def __init__(self, number: int, now: int) -> None:
+        self.number = number
+        self.homes: list[str] = []
+        self.spare: str | None = None
+        self.lines: dict[str, float] = {}  # as published
+        self.rates: list[float] = []  # requests a second by class, averaged
+        self.heard: list[int] = []
+        self.warmth: dict[str, float] = {}
+        self.levels: tuple[float, ...] = ()  # as published; empty: all in
+        self.urgency = BALANCE
+        self.since = now
+
+    @property
+    def heat(self) -> float:
+        return sum(self.rates)
+
+    def wanted(self) -> dict[str, float]:
+        lines = dict.fromkeys(self.homes, 1.0)
+        if self.spare is not None and self.spare not in lines:
+            lines[self.spare] = SPARE_WEIGHT
+        return lines
+
+
+class Channel:
+    """Lines sent and not yet acknowledged. Counting acknowledgements, not the stated rate, holds when
+    the channel runs slower than stated; it errs high while proxies stall, which only delays balance."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.open: dict[int, deque[tuple[int, float]]] = {}  # by proxy: (mark, lines)
+        self.sent: deque[int] = deque()  # times of messages, for the window
+        self.mark = 0
+        self.waiting = 0.0
+        self.last = 0
+
+    def room(self, now: int, urgency: int) -> int:
+        """Lines that a message may hold now; below 1: none."""
+        s = self.settings
+        while self.sent and self.sent[0] <= now - s.message_window:
+            self.sent.popleft()
+        allowed = (RULE_MESSAGES, FAIL_MESSAGES, MESSAGES)[urgency] * s.messages_per_window
+        if not self.open or (s.messages_per_window and len(self.sent) + 1 > allowed):
+            return 0
+        fill = FILL if urgency == BALANCE else URGENT_FILL
+        return int((fill * s.channel_limit - self.waiting) / len(self.open) - s.message_overhead - 2)
+
+    def send(self, now: int, lines: int) -> api.Mark:
+        self.mark = (self.mark + 1) % 65536
+        cost = self.settings.message_overhead + lines + 2
+        for queue in self.open.values():
+            queue.append((self.mark, cost))
+            self.waiting += cost
+        self.sent.append(now)
+        self.last = now
+        return api.Mark(self.mark, False)
+
+    def applied(self, proxy: int, mark: int) -> None:
+        queue = self.open.get(proxy)
+        if queue and any(number == mark for number, _ in queue):
+            while queue:
+                number, cost = queue.popleft()
+                self.waiting -= cost
+                if number == mark:
+                    break
+
+    def left(self, proxy: int) -> None:
+        for _, cost in self.open.pop(proxy, ()):
+            self.waiting -= cost
+
+    def landed(self, now: int) -> bool:
+        return self.waiting < 1.0 or now - self.last > 2 * SECOND + 2 * self.settings.transit_max
+
+
+class Planner:
+    """One instance of the controller. `handle` is its only entrance."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.class_index = {c.name: k for k, c in enumerate(settings.classes)}
+        self.aim = min(c.aim for c in settings.classes)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.slices: dict[int, Slice] = {}
+        self.channel = Channel(settings)
+        self.benched: dict[str, bool] = {}  # withdrawn, as published
+        self.listed = False  # a list newer than `restored` has come
+        self.ask_at: int | None = 0 if settings.subscribe else None
+        self.ask_fails = 0
+        self.greet = True  # standing orders must be sent (again)
+        self.tick_at = self.round_at = self.judge_at = 0
+        self.report_at = 0
+        self.median = 0.0
+        self.changed = True
+        self.out: list[api.Action] = []
+        self.bound: dict[int, bool] = {}
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+        """Take in what happened, then order what follows from it."""
+        self.now, self.out = now, []
+        for event in events:
+            getattr(self, "on_" + type(event).__name__, self.on_other)(event)
+        if self.changed:
+            self.changed = False
+            self.evacuate()
+        if now >= self.tick_at:
+            self.tick_at = now + TICK
+            self.out.append(api.SetTimer(TICK, 0))
+            self.tick()
+        self.publish()
+        return self.out
+
+    # ---- events ---------------------------------------------------------------------------------
+
+    def on_other(self, event: api.Event) -> None:
+        """Timers only wake; probes, peers and per-proxy demand are not used."""
+
+    def on_ListChanged(self, event: api.ListChanged) -> None:
+        if event.kind == "unavailable":
+            # Asking again at once would pile onto a list service that just failed.
+            self.ask_fails = min(self.ask_fails + 1, 4)
+            self.ask_at = self.now + int(SECOND / 4 * 2**self.ask_fails * self.random.uniform(0.5, 1.0))
+            return
+        if event.kind != "restored":
+            self.listed = True
+            self.ask_fails, self.ask_at = 0, None
+        if event.kind == "replace":
+            present = {entry.endpoint: True for entry in event.entries}
+            for ep in self.endpoints.values():
+                if ep.name not in present and ep.state != "unlisted":
+                    ep.state = "terminated"
+        for entry in event.entries:
+            ep = self.endpoint(entry.endpoint)
+            if entry.started != ep.started:
+                ep.forget()
+            ep.zone, ep.started, ep.state = entry.zone, entry.started, entry.state
+            ep.weight = entry.weight if entry.weight > 0 else 1.0
+        self.changed = True
+
+    def on_ProxyJoined(self, event: api.ProxyJoined) -> None:
+        self.channel.left(event.proxy)
+        self.channel.open[event.proxy] = deque()
+        self.bound.pop(event.proxy, None)
+        self.greet = True
+
+    def on_ProxyLeft(self, event: api.ProxyLeft) -> None:
+        self.channel.left(event.proxy)
+
+    def on_Applied(self, event: api.Applied) -> None:
+        self.channel.applied(event.proxy, event.mark)
+
+    def on_CustodyChanged(self, event: api.CustodyChanged) -> None:
+        self.slices.pop(event.slice, None)
+        if event.owned:
+            piece = self.slices[event.slice] = Slice(event.slice, self.now)
+            piece.rates = [0.0] * len(self.settings.classes)
+            piece.heard = [0] * len(self.settings.classes)
+        self.changed = True
+
+    def on_StoredLine(self, event: api.StoredLine) -> None:
+        piece = self.slices.get(event.slice)
+        if piece is None or event.weight <= 0:
+            return
+        self.endpoint(event.endpoint)
+        piece.lines[event.endpoint] = event.weight
+        if event.weight > 5 * SPARE_WEIGHT:
+            piece.homes.append(event.endpoint)
+            piece.warmth[event.endpoint] = 1.0
+        else:
+            piece.spare = event.endpoint
+        self.changed = True
+
+    def on_SliceDemand(self, event: api.SliceDemand) -> None:
+        piece, k = self.slices.get(event.slice), self.class_index.get(event.request_class)
+        if piece is None or k is None or event.period <= 0:
+            return
+        span = event.period / SECOND
+        known = HEAT_TAU if piece.heard[k] else 0.0
+        share = 1 - math.exp(-span / known) if known else 1.0
+        piece.rates[k] += share * (event.requests / span - piece.rates[k])
+        piece.heard[k] = self.report_at = self.now
+
+    def on_EndpointReport(self, event: api.EndpointReport) -> None:
+        ep = self.endpoints.get(event.endpoint)
+        if ep is None or event.tries <= 0 or event.period <= 0:
+            return
+        if ep.started and self.now - ep.started < event.period:
+            return  # counted before the present process began
+        keep = math.exp(-max(0, self.now - ep.heard) / SECOND / EVIDENCE_TAU)
+        good = event.tries - event.failures
+        if good > 0 and event.latency > 0:
+            before = (ep.tries - ep.fails) * keep
+            ep.latency = (ep.latency * before + event.latency * good) / (before + good)
+        ep.tries = ep.tries * keep + event.tries
+        ep.fails = ep.fails * keep + event.failures
+        ep.heard = self.report_at = self.now
+
+    def endpoint(self, name: str) -> Endpoint:
+        if name not in self.endpoints:
+            self.endpoints[name] = Endpoint(name)
+        return self.endpoints[name]
+
+    # ---- what an endpoint may carry -------------------------------------------------------------
+
+    def barred(self, name: str) -> bool:
+        """No proxy may send there: told so by the list. Before a fresh list, the store is trusted."""
+        state = self.endpoints[name].state
+        return state in ("terminating", "terminated") or (state == "unlisted" and self.listed)
+
+    def ejected(self, ep: Endpoint) -> bool:
+        return ep.out_until > self.now
+
+    def ramp(self, ep: Endpoint) -> float:
+        """Share of its warm capacity that a newly started endpoint has at least."""
+        s, age = self.settings, self.now - ep.started
+        if not ep.started or age >= s.cold_time:
+            return 1.0
+        return s.cold_share + (1 - s.cold_share) * max(0.0, age / s.cold_time)
+
+    def capacity(self, ep: Endpoint) -> float:
+        """Listed weight, corrected. Doubt: a slow server's normal heat hides it, so latency far over the
+        fleet's median cuts the weight in proportion; harm: a distant zone would look slow."""
+        share = self.ramp(ep)
+        if ep.back_since:
+            share *= min(1.0, RETURN_SHARE + (self.now - ep.back_since) / RETURN_TIME)
+        if self.median and ep.latency > SLOW_FROM * self.median:
+            share *= max(0.1, SLOW_FROM * self.median / ep.latency)
+        return ep.weight * share
+
+    def usable(self) -> dict[str, float]:
+        """Endpoints that may take slices, with their present capacity. Never empty without need:
+        doubtful endpoints are better than none."""
+        fit = [ep for ep in self.endpoints.values() if ep.state == "in_service"]
+        if not fit:
+            fit = [ep for ep in self.endpoints.values() if not self.barred(ep.name)]
+        well = [ep for ep in fit if not self.ejected(ep)]
+        return {ep.name: self.capacity(ep) for ep in (well or fit)}
+
+    def loads(self, names: Iterable[str]) -> dict[str, float]:
+        """Heat that each endpoint should get from our slices as they are wanted."""
+        load = dict.fromkeys(names, 0.0)
+        for piece in self.slices.values():
+            for home in piece.homes:
+                if home in load:
+                    load[home] += self.unit(piece) / len(piece.homes)
+        return load
+
+    def unit(self, piece: Slice) -> float:
+        return piece.heat + 0.01  # an unheard slice still counts a little
+
+    # ---- exceptions: evacuation, spares, health, levels --------------------------------------------
+
+    def evacuate(self) -> None:
+        """Exception: what the list or the reports rule out moves at once, past gate and cap."""
+        cap = self.usable()
+        load = self.loads(cap)
+        total = sum(load.values()) + 1e-9
+        mean = total / (sum(cap.values()) + 1e-9)
+        for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
+            bad = [h for h in piece.homes if h not in cap and (self.barred(h) or cap)]
+            piece.homes = [h for h in piece.homes if h not in bad]
+            if bad:
+                piece.urgency = min(piece.urgency, RULE if any(map(self.barred, bad)) else FAILURE)
+            if piece.spare is not None and (piece.spare not in cap or piece.spare in piece.homes):
+                piece.urgency = min(piece.urgency, RULE if self.barred(piece.spare) else FAILURE)
+                piece.spare = None
+            # Cold endpoints fall over when pushed: what they hold above their share leaves.
+            for home in list(piece.homes):
+                ep = self.endpoints[home]
+                heat = self.unit(piece) / len(piece.homes)
+                cold = self.ramp(ep) < 1 and load[home] > COLD_HEADROOM * mean * cap[home]
+                if cold and self.roomiest(cap, load, heat, mean, piece.homes):
+                    piece.homes.remove(home)
+                    load[home] -= heat
+                    piece.urgency = min(piece.urgency, RULE)
+            if not piece.homes and cap:
+                heat = self.unit(piece)
+                best = self.roomiest(cap, load, heat, mean, []) or max(cap, key=lambda n: (cap[n], n))
+                piece.homes = [best]
+                load[best] += heat
+        if not self.settings.sole_owner:
+            self.place_spares(cap, load)
+
+    def roomiest(
+        self, cap: dict[str, float], load: dict[str, float], heat: float, mean: float, taken: list[str],
+    ) -> str | None:
+        """Where heat adds least per capacity; a cold endpoint only while it stays within its share."""
+        best, least = None, math.inf
+        for name, room in cap.items():
+            cold = self.ramp(self.endpoints[name]) < 1 or self.endpoints[name].back_since > 0
+            if name in taken or (cold and load[name] + heat > COLD_HEADROOM * mean * room):
+                continue
+            level = (load[name] + heat) / room
+            if level < least:
+                best, least = name, level
+        return best
+
+    def place_spares(self, cap: dict[str, float], load: dict[str, float]) -> None:
+        """Exception: a second, hardly used line lets proxies fail over on their own when a server dies,
+        hangs or is cut off, long before any report. Another zone where there is one; warm servers only."""
+        extra = dict(load)
+        warm = [n for n in cap if self.ramp(self.endpoints[n]) >= 1 and not self.endpoints[n].back_since]
+        for piece in self.slices.values():
+            if piece.spare is not None:
+                extra[piece.spare] = extra.get(piece.spare, 0.0) + self.unit(piece) / 2
+        for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
+            if piece.spare is None and len(piece.homes) == 1:
+                zone = self.endpoints[piece.homes[0]].zone
+                others = [n for n in warm if n not in piece.homes]
+                away = [n for n in others if self.endpoints[n].zone != zone]
+                if others:
+                    heat = self.unit(piece) / 2
+                    piece.spare = min(away or others, key=lambda n: ((extra[n] + heat) / cap[n], n))
+                    extra[piece.spare] += heat
+
+    def tick(self) -> None:
+        """The slow clockwork: list, health, levels, rounds."""
+        if self.ask_at is not None and self.now >= self.ask_at:
+            self.out.append(api.Subscribe(True))
+            self.ask_at = self.now + max(SECOND, self.settings.ask_every // 2)  # in case no answer comes
+        if self.now >= self.judge_at:
+            self.judge_at = self.now + self.settings.report_period
+            self.cool()
+            self.judge()
+            self.shed()
+            self.evacuate()
+        if self.now >= self.round_at and self.channel.landed(self.now) and not self.pending():
+            self.round_at = self.now + PERIOD
+            self.split_hot()
+            self.round()
+
+    def cool(self) -> None:
+        """Slices without requests send no line: let their heat fade, unless reports are late for all."""
+        period = self.settings.report_period
+        if self.now - self.report_at > 2 * period:
+            return
+        fade = math.exp(-period / SECOND / HEAT_TAU)
+        warm = math.exp(-period / SECOND / WARM_TAU)
+        for piece in self.slices.values():
+            for k, heard in enumerate(piece.heard):
+                if self.now - heard > 3 * period:
+                    piece.rates[k] *= fade
+            for home in piece.homes:
+                piece.warmth.setdefault(home, 0.0)
+            for name, value in list(piece.warmth.items()):
+                aim = 1.0 if name in piece.homes else 0.0
+                piece.warmth[name] = aim + (value - aim) * warm
+                if piece.warmth[name] < 0.03 and not aim:
+                    del piece.warmth[name]
+
+    def judge(self) -> None:
+        """Take out endpoints that fail or crawl while the fleet does not. Meets hangs, error storms, cut
+        links and grave slowdowns alike; a fleet-wide overload raises the bar for all and ejects nobody."""
+        period = self.settings.report_period
+        fresh = [e for e in self.endpoints.values()
+                 if e.state == "in_service" and self.now - e.heard < 3 * period and e.tries >= 1]
+        timed = sorted(e.latency for e in fresh if e.latency > 0)
+        self.median = timed[len(timed) // 2] if timed else self.median
+        tries, fails = sum(e.tries for e in fresh), sum(e.fails for e in fresh)
+        listed = sum(e.weight for e in self.endpoints.values() if e.state == "in_service")
+        out = sum(e.weight for e in self.endpoints.values() if e.state == "in_service" and self.ejected(e))
+        for ep in fresh:
+            if ep.back_since and self.now - ep.back_since > RETURN_TIME:
+                ep.back_since, ep.out_for = 0, OUT_FIRST
+            if self.ejected(ep) or ep.tries < MIN_TRIES:
+                continue
+            rest = (fails - ep.fails) / max(1.0, tries - ep.tries)
+            failing = ep.fails / ep.tries > BAD_SHARE + rest
+            slow = ep.latency > max(SLOW_AIM * self.aim, SLOW_RATIO * self.median)
+            if (failing or slow) and out + ep.weight <= EJECT_MOST * listed:
+                out += ep.weight
+                self.out.append(api.Log(
+                    f"eject {ep.name} {'failing' if failing else 'slow'}: {ep.fails:.0f} of {ep.tries:.0f}"
+                    f" failed, {ep.latency / 1e6:.0f} ms, fleet {rest:.2f} {self.median / 1e6:.0f} ms"))
+                until, wait = self.now + ep.out_for, ep.out_for
+                ep.forget()
+                ep.out_until, ep.back_since, ep.out_for = until, until, min(2 * wait, OUT_MOST)
+
+    def shed(self) -> None:
+        """Exception: an endpoint that answers late or not at all sheds the class of least worth first."""
+        if self.settings.admission != "ratio":
+            return
+        most = len(self.settings.classes) - 0.1
+        for ep in self.endpoints.values():
+            if self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES:
+                continue
+            late = ep.latency / self.aim
+            if late > SHED_LATENCY or ep.fails / ep.tries > SHED_FAILS:
+                ep.shed = min(most, ep.shed + SHED_STEP)
+            elif late < CALM_LATENCY:
+                ep.shed = max(0.0, ep.shed - SHED_BACK)
+
+    def levels(self, piece: Slice) -> tuple[float, ...]:
+        """Admission level of each class for a slice, from what its homes shed."""
+        sheds = [self.endpoints[h].shed for h in piece.homes]
+        shed = sum(sheds) / len(sheds) if sheds else 0.0
+        classes = self.settings.classes
+        order = sorted(range(len(classes)), key=lambda k: classes[k].worth)
+        result = [1.0] * len(classes)
+        for rank, k in enumerate(order):
+            level = 1 - min(1.0, max(0.0, shed - rank))
+            result[k] = math.ceil(level / LEVEL_GRAIN - 1e-6) * LEVEL_GRAIN
+        return tuple(result)
+
+    def split_hot(self) -> None:
+        """Exception (doubt: a slice hotter than one server can carry): further full lines in its table."""
+        if self.settings.sole_owner:
+            return
+        cap = self.usable()
+        load = self.loads(cap)
+        total, weight = sum(load.values()), sum(cap.values())
+        if total <= 0 or weight <= 0:
+            return
+        fair = total / weight * max(cap.values())
+        for piece in self.slices.values():
+            need = min(3, max(1, math.ceil(self.unit(piece) / (HOT_SHARE * fair))))
+            if need > len(piece.homes):
+                best = self.roomiest(cap, load, self.unit(piece) / need, total / weight, piece.homes)
+                if best:
+                    piece.homes.append(best)
+                    load[best] += self.unit(piece) / need
+            elif len(piece.homes) > 1 and self.unit(piece) * 1.5 < HOT_SHARE * fair * (len(piece.homes) - 1):
+                piece.homes.pop()
+
+    # ---- the ordinary path ------------------------------------------------------------------------
+
+    def round(self) -> None:
+        """Gate, search on a copy, keep the cheaper plan."""
+        cap = self.usable()
+        search = Search(self, cap)
+        if search.skewed():
+            for piece, homes in search.run():
+                piece.homes = homes
+                if piece.spare in homes:
+                    piece.spare = None
+            self.evacuate()
+
+    # ---- publishing ---------------------------------------------------------------------------------
+
+    def pending(self) -> bool:
+        return any(p.lines != p.wanted() for p in self.slices.values())
+
+    def orders(self, piece: Slice) -> list[api.Action]:
+        """What brings a slice's table to what is wanted: new lines first, so that it is never bare."""
+        wanted = piece.wanted()
+        adds = [api.SetLine(piece.number, n, w) for n, w in wanted.items() if piece.lines.get(n) != w]
+        if self.settings.sole_owner:
+            return adds
+        return adds + [api.SetLine(piece.number, n, 0.0) for n in piece.lines if n not in wanted]
+
+    def admits(self, table: int | None, levels: tuple[float, ...]) -> list[api.Action]:
+        """Levels with the way of trying again: further tries only where running twice does no harm."""
+        groups: dict[tuple[float, int], list[int]] = {}
+        for k, (c, level) in enumerate(zip(self.settings.classes, levels, strict=True)):
+            groups.setdefault((level, self.retry(c)), []).append(k)
+        return [api.Admit(table, tuple(ks), level, how) for (level, how), ks in groups.items()]
+
+    def retry(self, c: api.RequestClass) -> int:
+        return 1
+
+    def publish(self) -> None:
+        """Send what differs from the published state: rules, then failures, then balance, hottest first,
+        as one message a proxy and as much as the channel has room for."""
+        lines: list[api.Action] = []
+        if not self.channel.open:
+            return
+        full = (1.0,) * len(self.settings.classes)
+        if self.greet and self.channel.room(self.now, FAILURE) > 2:
+            self.greet = False
+            lines += self.admits(None, full)
+        bench = {e.name: self.barred(e.name) or self.ejected(e) for e in self.endpoints.values()
+                 if e.state != "unlisted"}
+        for name, out in bench.items():
+            if out != self.benched.get(name, False) and self.channel.room(self.now, RULE) > len(lines):
+                self.benched[name] = out
+                lines.append(api.Withdraw(name, out))
+        todo = []
+        for piece in self.slices.values():
+            orders, levels = [], self.levels(piece)
+            if piece.lines != piece.wanted():
+                orders = self.orders(piece)
+            if levels != (piece.levels or full):
+                orders += self.admits(piece.number, levels)
+            if orders:
+                urgency = RULE if not any(n in bench and not bench[n] for n in piece.lines) else piece.urgency
+                todo.append((urgency, -piece.heat, piece.number, piece, orders, levels))
+        for urgency, _, _, piece, orders, levels in sorted(todo, key=lambda t: t[:3]):
+            if len(lines) + len(orders) <= self.channel.room(self.now, urgency):
+                lines += orders
+                piece.lines, piece.levels, piece.urgency = piece.wanted(), levels, BALANCE
+        if lines:
+            self.out += [*lines, self.channel.send(self.now, len(lines))]
+
+
+class Search:
+    """The design's search on a copy: units of heat (a slice, or its share on each of its homes)."""
+
+    def __init__(self, planner: Planner, cap: dict[str, float]) -> None:
+        self.planner, self.random = planner, planner.random
+        self.names = list(cap)
+        self.cap = [max(1e-6, cap[n]) for n in self.names]
+        place = {n: i for i, n in enumerate(self.names)}
+        self.cold = [planner.ramp(planner.endpoints[n]) < 1 or planner.endpoints[n].back_since > 0
+                     for n in self.names]
+        self.units: list[tuple[Slice, int]] = []  # the slice and which of its homes
+        self.at: list[int] = []
+        self.heat: list[float] = []
+        for piece in planner.slices.values():
+            for k, home in enumerate(piece.homes):
+                if home in place:
+                    self.units.append((piece, k))
+                    self.at.append(place[home])
+                    self.heat.append(planner.unit(piece) / len(piece.homes))
+        self.start = list(self.at)
+        self.warmest = [
+            [place[n] for n, _ in sorted(p.warmth.items(), key=lambda i: -i[1]) if n in place]
+            for p, _ in self.units
+        ]
+        n = len(self.names)
+        self.load, self.count = [0.0] * n, [0] * n
+        for unit, at in enumerate(self.at):
+            self.load[at] += self.heat[unit]
+            self.count[at] += 1
+        self.total, self.weight = sum(self.load) or 1.0, sum(self.cap) or 1.0
+        self.heat_sq = sum(x * x / w for x, w in zip(self.load, self.cap, strict=True))
+        self.count_sq = sum(x * x / w for x, w in zip(self.count, self.cap, strict=True))
+        self.lost = 0.0  # warmth lost by moves, in heat
+        self.moved = 0
+
+    def skewed(self) -> bool:
+        """The slop gate: some endpoint's count or heat per weight is off the mean by more than the slop."""
+        if len(self.names) < 2 or not self.units:
+            return False
+        for have, total in ((self.load, self.total), (self.count, len(self.units))):
+            mean = total / self.weight
+            if any(abs(x / w - mean) > SLOP * mean for x, w in zip(have, self.cap, strict=True)):
+                return True
+        return False
+
+    def spread(self, squares: float, total: float) -> float:
+        """Spread per weight, from 0 (even) to 1 (all on the smallest endpoint)."""
+        worst = 1 / min(self.cap) - 1 / self.weight
+        return math.sqrt(max(0.0, squares / (total * total) - 1 / self.weight) / max(1e-9, worst))
+
+    def cost(self) -> float:
+        return (COUNT_COST * self.spread(self.count_sq, len(self.units))
+                + HEAT_COST * self.spread(self.heat_sq, self.total) + WARM_COST * self.lost / self.total)
+
+    def shift(self, unit: int, to: int) -> None:
+        """Move one unit on the copy; all sums follow in constant time."""
+        for end, sign in ((self.at[unit], -1), (to, 1)):
+            w = self.cap[end]
+            self.heat_sq -= self.load[end] ** 2 / w
+            self.count_sq -= self.count[end] ** 2 / w
+            self.load[end] += sign * self.heat[unit]
+            self.count[end] += sign
+            self.heat_sq += self.load[end] ** 2 / w
+            self.count_sq += self.count[end] ** 2 / w
+        self.lost += self.loss(unit, to) - self.loss(unit, self.at[unit])
+        self.moved += (to != self.start[unit]) - (self.at[unit] != self.start[unit])
+        self.at[unit] = to
+
+    def loss(self, unit: int, end: int) -> float:
+        warmth = self.units[unit][0].warmth
+        here = warmth.get(self.names[self.start[unit]], 0.0)
+        return self.heat[unit] * max(0.0, here - warmth.get(self.names[end], 0.0))
+
+    def pick(self) -> list[tuple[int, int]]:
+        """One of the three pickers: random swap, most to least loaded, a slice to its warmest server."""
+        rnd = self.random
+        kind = rnd.randrange(3)
+        if kind == 2:
+            unit = rnd.randrange(len(self.units))
+            away = [e for e in self.warmest[unit] if e != self.at[unit]]
+            return [(unit, away[0])] if away else []
+        if kind == 1:
+            level = [x / w for x, w in zip(self.load, self.cap, strict=True)]
+            a, b = level.index(max(level)), level.index(min(level))
+        else:
+            a, b = rnd.randrange(len(self.names)), rnd.randrange(len(self.names))
+        mine = [u for u, e in enumerate(self.at) if e == a]
+        theirs = [u for u, e in enumerate(self.at) if e == b]
+        if a == b or not mine:
+            return []
+        moves = [(rnd.choice(mine), b)]
+        if theirs and rnd.random() < 0.5:
+            moves.append((rnd.choice(theirs), a))
+        return moves
+
+    def allowed(self, unit: int, to: int) -> bool:
+        piece, _ = self.units[unit]
+        if self.names[to] in piece.homes and to != self.start[unit]:
+            return False
+        if self.cold[to] and self.load[to] + self.heat[unit] > COLD_HEADROOM * self.total / self.weight * self.cap[to]:
+            return False
+        return True
+
+    def run(self) -> list[tuple[Slice, list[str]]]:
+        """Keep a step only if it is cheaper by the least gain; return the slices that end elsewhere."""
+        most = max(1, int(MOVE_CAP * len(self.planner.slices)))
+        best = self.cost()
+        steps = min(MAX_STEPS, int(len(self.units) * len(self.names) * STEP_FACTOR))
+        for _ in range(steps):
+            moves = self.pick()
+            if not moves or not all(self.allowed(u, to) for u, to in moves):
+                continue
+            undo = [(u, self.at[u]) for u, _ in moves]
+            for u, to in moves:
+                self.shift(u, to)
+            cost = self.cost()
+            if self.moved <= most and cost < best - MIN_GAIN:
+                best = cost
+            else:
+                for u, back in reversed(undo):
+                    self.shift(u, back)
+        plans: dict[int, tuple[Slice, list[str]]] = {}
+        for unit, (piece, k) in enumerate(self.units):
+            if self.at[unit] != self.start[unit]:
+                homes = plans.setdefault(piece.number, (piece, list(piece.homes)))[1]
+                if self.names[self.at[unit]] not in homes:
+                    homes[k] = self.names[self.at[unit]]
+        return list(plans.values())
--- /dev/null
+++ b/damsonpick/interface.py
@@ -0,0 +1,231 @@
+"""The planner's own vocabulary: settings it starts with, events it is told, actions it orders.
+
+Types only. Times and durations are integer nanoseconds. A *slice* is a fixed part of the key space
+with one table; a *table* lists endpoints with weights; a *mark* asks proxies to acknowledge.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class RequestClass(NamedTuple):
+    """One kind of request and what it is worth, in the order the settings list them."""
+
+    name: str
+    aim: int
+    deadline: int
+    effect: str  # "read_like", "idempotency_key" or "non_idempotent"
+    key_scope: str  # "all", "zone" or "cell"
+    key_window: int
+    worth: float
+
+
+class Settings(NamedTuple):
+    """What a planner is told once, at its start."""
+
+    instance: int
+    instances: int
+    zone: str
+    classes: tuple[RequestClass, ...]
+    slices: int  # 0: no slices, tables are bound to proxies
+    proxies: int
+    sole_owner: bool
+    admission: str  # "ratio", "rps" or "none"
+    subscribe: bool  # the endpoint list must be asked for
+    ask_every: int
+    channel_rate: float  # lines a second
+    channel_limit: float  # lines that may wait
+    message_overhead: float  # lines added to each message
+    messages_per_window: int  # to one proxy; 0: unlimited
+    message_window: int
+    transit_max: int
+    report_period: int
+    drain_grace: int
+    cold_share: float
+    cold_time: int
+    write_linger: int  # how long a write a proxy took in may stay in hand
+    write_lease: int  # how long a proxy that lost its stream keeps writing
+    load_fields: tuple[str, ...]
+    pick: str  # "lottery", "wheel" or "pair"
+
+
+# ---- events -------------------------------------------------------------------------------------
+
+
+class ListEntry(NamedTuple):
+    """One endpoint as discovery lists it."""
+
+    endpoint: str
+    zone: str
+    state: str  # "in_service", "terminating" or "terminated"
+    weight: float
+    started: int  # clock time of the last start; 0: long ago
+
+
+class ListChanged(NamedTuple):
+    """News of the endpoint list."""
+
+    kind: str  # "update", "replace", "restored" or "unavailable"
+    entries: tuple[ListEntry, ...]
+
+
+class TimerFired(NamedTuple):
+    token: int
+
+
+class ProbeResult(NamedTuple):
+    endpoint: str
+    outcome: str
+    latency: int
+    load: tuple[float, ...]
+
+
+class PeerMessage(NamedTuple):
+    sender: int
+    payload: bytes
+
+
+class ProxyJoined(NamedTuple):
+    proxy: int
+    zone: str
+    rate: float
+    fresh: bool  # holds only its standing tables
+
+
+class ProxyLeft(NamedTuple):
+    proxy: int
+
+
+class EndpointReport(NamedTuple):
+    """What the joined proxies of one zone met at one endpoint during one period."""
+
+    zone: str
+    endpoint: str
+    tries: int
+    failures: int
+    latency: int  # mean of the good answers; 0: none
+    period: int
+    load: tuple[float, ...]  # empty: no load report
+
+
+class ProxyDemand(NamedTuple):
+    """Requests of a class that reached one proxy (sites without slices)."""
+
+    proxy: int
+    request_class: str
+    requests: int
+    failures: int
+    period: int
+
+
+class SliceDemand(NamedTuple):
+    """Requests of a class that came for one slice."""
+
+    slice: int
+    request_class: str
+    requests: int
+    failures: int
+    period: int
+
+
+class CustodyChanged(NamedTuple):
+    slice: int
+    owned: bool
+
+
+class StoredLine(NamedTuple):
+    """A line of a slice's table as the store holds it."""
+
+    slice: int
+    endpoint: str
+    weight: float
+
+
+class Applied(NamedTuple):
+    """A proxy has applied the message that carried this mark."""
+
+    mark: int
+    proxy: int
+    delay: int
+
+
+Event = (
+    ListChanged | TimerFired | ProbeResult | PeerMessage | ProxyJoined | ProxyLeft | EndpointReport
+    | ProxyDemand | SliceDemand | CustodyChanged | StoredLine | Applied
+)
+
+# ---- actions ------------------------------------------------------------------------------------
+
+
+class SetLine(NamedTuple):
+    """Give an endpoint this weight in a table; 0 removes the line."""
+
+    table: int
+    endpoint: str
+    weight: float
+
+
+class ClearTable(NamedTuple):
+    table: int
+
+
+class BindTable(NamedTuple):
+    """Put a proxy on a table for some classes; an empty tuple means all classes."""
+
+    proxy: int
+    table: int
+    classes: tuple[int, ...]
+
+
+class Withdraw(NamedTuple):
+    """Stop (or let again) joined proxies sending to an endpoint, whatever their tables say."""
+
+    endpoint: str
+    out: bool
+
+
+class Admit(NamedTuple):
+    """Admission level and retry mode of some classes; table None: all tables of this instance."""
+
+    table: int | None
+    classes: tuple[int, ...]
+    level: float
+    retry: int  # 0 never, 1 on proof it never ran, 2 once after any failure, 3 twice
+
+
+class Mark(NamedTuple):
+    number: int
+    everyone: bool
+
+
+class Subscribe(NamedTuple):
+    on: bool
+
+
+class FetchList(NamedTuple):
+    pass
+
+
+class SetTimer(NamedTuple):
+    delay: int
+    token: int
+
+
+class Probe(NamedTuple):
+    endpoint: str
+
+
+class SendPeer(NamedTuple):
+    to: int | None  # None: every peer
+    payload: bytes
+
+
+class Log(NamedTuple):
+    text: str
+
+
+Action = (
+    SetLine | ClearTable | BindTable | Withdraw | Admit | Mark | Subscribe | FetchList | SetTimer
+    | Probe | SendPeer | Log
+)
--- /dev/null
+++ b/damsonpick/simhost/codec.py
@@ -0,0 +1,286 @@
+"""Wire lines to events, actions to wire lines. No decision is taken here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
+
+from damsonpick import interface as api
+
+ALL_TABLES = 65535
+
+
+class WireError(Exception):
+    """Input that does not follow the wire; the message names the line and the reason."""
+
+
+class Start(NamedTuple):
+    """An instance starts: its number, seed and settings."""
+
+    instance: str
+    seed: int
+    settings: api.Settings
+
+
+class Stop(NamedTuple):
+    instance: str
+
+
+class Told(NamedTuple):
+    """An event for one instance."""
+
+    instance: str
+    event: api.Event
+
+
+Item = Start | Stop | Told
+
+
+class Batch(NamedTuple):
+    now: int
+    items: list[Item]
+
+
+def _int(text: str) -> int:
+    return int(text)
+
+
+def _opt_int(text: str) -> int:
+    return 0 if text == "-" else int(text)
+
+
+def _opt_float(text: str) -> float:
+    return 0.0 if text == "-" else _float(text)
+
+
+def _float(text: str) -> float:
+    value = float(text)
+    if value != value or value in (float("inf"), float("-inf")):
+        raise ValueError(f"not a finite number: {text}")
+    return value
+
+
+def _bool(text: str) -> bool:
+    if text not in ("0", "1"):
+        raise ValueError(f"not a bool: {text}")
+    return text == "1"
+
+
+def _row(text: str) -> tuple[float, ...]:
+    return () if text in ("-", "") else tuple(_opt_float(part) for part in text.split(","))
+
+
+def _hex(text: str) -> bytes:
+    return b"" if text == "-" else bytes.fromhex(text)
+
+
+def _one_of(*allowed: str) -> Callable[[str], str]:
+    def read(text: str) -> str:
+        if text not in allowed:
+            raise ValueError(f"not one of {', '.join(allowed)}: {text}")
+        return text
+
+    return read
+
+
+_STATE = _one_of("in_service", "terminating", "terminated")
+_MODE = _one_of("update", "replace", "restored", "unavailable")
+
+
+def _swap_demand(period: int, failures: int, requests: int, name: str, slice_: int) -> api.SliceDemand:
+    return api.SliceDemand(slice_, name, requests, failures, period)
+
+
+def _joined(fresh: bool, zone: str, rate: float, proxy: int) -> api.ProxyJoined:
+    return api.ProxyJoined(proxy, zone, rate, fresh)
+
+
+# name -> (readers of the values after the instance, builder)
+_EVENTS: dict[str, tuple[tuple[Callable, ...], Callable[..., api.Event]]] = {
+    "FIRED": ((_int,), api.TimerFired),
+    "PONG": ((str, str, _opt_int, _row), api.ProbeResult),
+    "FROM_PEER": ((_int, _hex), api.PeerMessage),
+    "ENROLLED": ((_bool, str, _opt_float, _int), _joined),
+    "LOST_STREAM": ((_int,), api.ProxyLeft),
+    "ROUNDUP": ((str, str, _int, _int, _opt_int, _opt_int, _row), api.EndpointReport),
+    "OFFERED_LOAD": ((_int, str, _int, _int, _opt_int), api.ProxyDemand),
+    "ACTIVITY": ((_opt_int, _int, _int, str, _int), _swap_demand),
+    "CUSTODY": ((_int, _bool), api.CustodyChanged),
+    "RECORDED": ((_int, str, _float), api.StoredLine),
+    "CAUGHT_UP": ((_int, _int, _opt_int), api.Applied),
+}
+
+
+class Reader:
+    """Cuts an input stream into batches and names the line where it goes wrong."""
+
+    def __init__(self, lines: Iterable[str]) -> None:
+        self._lines = iter(lines)
+        self._number = 0
+
+    def _next(self) -> str | None:
+        line = next(self._lines, None)
+        if line is None:
+            return None
+        self._number += 1
+        return line.rstrip("\n").rstrip("\r")
+
+    def _fail(self, reason: object) -> WireError:
+        return WireError(f"line {self._number}: {reason}")
+
+    def batches(self) -> Iterator[Batch]:
+        """Yield batches until the input ends between two of them."""
+        while (line := self._next()) is not None:
+            parts = line.split("\t")
+            if parts == [""]:
+                continue
+            if parts[0] != "TICK":
+                raise self._fail(f"expected TICK, got {parts[0]!r}")
+            try:
+                (now,) = (_int(value) for value in parts[1:])
+            except ValueError as error:
+                raise self._fail(f"TICK: {error}") from None
+            yield Batch(now, list(self._items()))
+
+    def _items(self) -> Iterator[Item]:
+        while True:
+            line = self._next()
+            if line is None:
+                raise self._fail("input ended inside a batch")
+            parts = line.split("\t")
+            if parts[0] == "OVER_TO_YOU":
+                return
+            try:
+                yield self._item(parts)
+            except (ValueError, KeyError, TypeError) as error:
+                reason = f"missing setting {error}" if isinstance(error, KeyError) else error
+                raise self._fail(f"{parts[0]}: {reason}") from None
+
+    def _item(self, parts: list[str]) -> Item:
+        name, values = parts[0], parts[1:]
+        if not values:
+            raise ValueError("unknown message or missing instance")
+        if name == "UP":
+            if len(values) < 2:
+                raise ValueError("missing seed")
+            return Start(values[0], _int(values[1]), read_settings(values[2:]))
+        if name == "EXIT":
+            if len(values) != 1:
+                raise ValueError(f"wants 1 value, got {len(values)}")
+            return Stop(values[0])
+        if name == "TOPOLOGY":
+            return Told(values[0], self._topology(values[1:]))
+        if name not in _EVENTS:
+            raise ValueError("unknown message")
+        readers, build = _EVENTS[name]
+        if len(values) != len(readers) + 1:
+            raise ValueError(f"wants {len(readers) + 1} values, got {len(values)}")
+        return Told(values[0], build(*(read(text) for read, text in zip(readers, values[1:], strict=True))))
+
+    def _topology(self, values: list[str]) -> api.ListChanged:
+        if len(values) < 2:
+            raise ValueError("wants mode, rev and entries")
+        mode = _MODE(values[0])
+        count = _opt_int(values[2]) if len(values) > 2 else 0
+        return api.ListChanged(mode, tuple(self._entry() for _ in range(count)))
+
+    def _entry(self) -> api.ListEntry:
+        line = self._next()
+        if line is None:
+            raise ValueError("input ended inside a list")
+        parts = line.split("\t")
+        if parts[0] != "ITEM" or len(parts) != 8:
+            raise ValueError(f"expected ITEM with 7 values, got {line[:60]!r}")
+        _, endpoint, zone, _machine, _cell, state, weight, started = parts
+        return api.ListEntry(endpoint, zone, _STATE(state), _opt_float(weight), _opt_int(started))
+
+
+def read_settings(pairs: list[str]) -> api.Settings:
+    """Pick the known settings out of path=value pairs; unknown ones are ignored."""
+    known: dict[str, str] = {}
+    for pair in pairs:
+        path, equals, value = pair.partition("=")
+        if not equals:
+            raise ValueError(f"not a path=value pair: {pair[:60]!r}")
+        known[path] = value
+
+    def words(path: str) -> tuple[str, ...]:
+        return tuple(part for part in known.get(path, "").split(",") if part and part != "-")
+
+    classes = tuple(_read_class(known, f"grades.{k}.") for k in range(_int(known["grades.count"])))
+    return api.Settings(
+        instance=_int(known["me"]),
+        instances=_int(known["peersTotal"]),
+        zone=known.get("zone", ""),
+        classes=classes,
+        slices=_int(known["domain.shards"]),
+        proxies=_int(known["domain.agents"]),
+        sole_owner=known.get("domain.soleOwner", "false") == "true",
+        admission=known.get("domain.admission", "none"),
+        subscribe=known.get("discovery") == "subscribe",
+        ask_every=_opt_int(known.get("rules.askEveryNs", "0")),
+        channel_rate=_float(known["domain.egressPerS"]),
+        channel_limit=_float(known["domain.mostWaiting"]),
+        message_overhead=_float(known["domain.overhead"]),
+        messages_per_window=_int(known.get("domain.pushesAllowed", "0")),
+        message_window=_opt_int(known.get("domain.updateWindowNs", "0")),
+        transit_max=_opt_int(known.get("domain.transitMaxNs", "0")),
+        report_period=_int(known["domain.reportEveryNs"]),
+        drain_grace=_int(known["rules.stopSendingWithinNs"]),
+        cold_share=_float(known["rules.coldShare"]),
+        cold_time=_int(known["rules.coldNs"]),
+        write_linger=_opt_int(known.get("domain.lingersNs", "0")),
+        write_lease=_opt_int(known.get("domain.leaseNs", "0")),
+        load_fields=words("report.fields"),
+        pick=known.get("domain.pick", "lottery"),
+    )
+
+
+def _read_class(known: dict[str, str], prefix: str) -> api.RequestClass:
+    return api.RequestClass(
+        name=known[prefix + "name"],
+        aim=_int(known[prefix + "aimNs"]),
+        deadline=_int(known[prefix + "deadlineNs"]),
+        effect=known[prefix + "effect"],
+        key_scope=known.get(prefix + "keyScope", "all"),
+        key_window=_opt_int(known.get(prefix + "windowNs", "0")),
+        worth=_float(known.get(prefix + "worth", "1")),
+    )
+
+
+def _mask(classes: tuple[int, ...]) -> int:
+    return sum(1 << place for place in classes)
+
+
+def _number(value: float) -> str:
+    return f"{value:.6g}"
+
+
+_WRITERS: dict[type, Callable[..., tuple[object, ...]]] = {
+    api.SetLine: lambda a: ("WEIGH", a.endpoint, a.table, _number(a.weight)),
+    api.ClearTable: lambda a: ("EMPTY", a.table),
+    api.BindTable: lambda a: ("USE_TABLE", _mask(a.classes), a.proxy, a.table),
+    api.Withdraw: lambda a: ("BENCH", a.endpoint, int(a.out)),
+    api.Admit: lambda a: (
+        "THROTTLE", ALL_TABLES if a.table is None else a.table, _mask(a.classes), _number(a.level), a.retry,
+    ),
+    api.Mark: lambda a: ("SEAL", a.number, int(a.everyone)),
+    api.Subscribe: lambda a: ("LISTEN", int(a.on)),
+    api.FetchList: lambda a: ("GET_LIST",),
+    api.SetTimer: lambda a: ("WAKE_ME", a.delay, a.token),
+    api.Probe: lambda a: ("SOUND_OUT", a.endpoint),
+    api.SendPeer: lambda a: ("TELL", "all" if a.to is None else a.to, a.payload.hex() or "-"),
+    api.Log: lambda a: ("RECORD", " ".join(a.text.split())),
+}
+
+
+def write_action(instance: str, action: api.Action) -> str:
+    """One reply line for one action."""
+    name, *values = _WRITERS[type(action)](action)
+    return "\t".join([str(name), instance, *(str(value) for value in values)])
+
+
+def write_fault(instance: str, error: BaseException) -> str:
+    """The line that reports a planner's exception."""
+    text = " ".join(f"{type(error).__name__}: {error}".split())
+    return f"GIVE_IN\t{instance}\t{text}"
