Eject only failing endpoints: overloaded ones cascaded through the fleet

Now an endpoint is ejected when its failures exceed the fleet's and its good answers are as fast as others', or when nearly nothing answers.

--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -33,7 +33,7 @@
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
 BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
-SLOW_AIM, SLOW_RATIO = 0.8, 2.5  # mean latency over this part of the aim and this many times the median
+DEAD_SHARE = 0.9  # failing share at which it is dead to its proxies, whatever the few good answers say
 SLOW_FROM = 1.6  # times the median latency from which weight is cut in proportion
 OUT_FIRST, OUT_MOST = 5 * SECOND, 20 * SECOND  # ns an ejected endpoint stays out, doubling
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
@@ -432,13 +432,13 @@
                 ep.back_since, ep.out_for = 0, OUT_FIRST
             if self.ejected(ep) or ep.tries < MIN_TRIES:
                 continue
-            rest = (fails - ep.fails) / max(1.0, tries - ep.tries)
-            failing = ep.fails / ep.tries > BAD_SHARE + rest
-            slow = ep.latency > max(SLOW_AIM * self.aim, SLOW_RATIO * self.median)
-            if (failing or slow) and out + ep.weight <= EJECT_MOST * listed:
+            rest, share = (fails - ep.fails) / max(1.0, tries - ep.tries), ep.fails / ep.tries
+            # Failing with slow good answers is overload: to eject would only push the load onto the next.
+            sick = share > BAD_SHARE + rest and ep.latency < SLOW_FROM * self.median or share > DEAD_SHARE
+            if sick and out + ep.weight <= EJECT_MOST * listed:
                 out += ep.weight
                 self.out.append(api.Log(
-                    f"eject {ep.name} {'failing' if failing else 'slow'}: {ep.fails:.0f} of {ep.tries:.0f}"
+                    f"eject {ep.name}: {ep.fails:.0f} of {ep.tries:.0f}"
                     f" failed, {ep.latency / 1e6:.0f} ms, fleet {rest:.2f} {self.median / 1e6:.0f} ms"))
                 until, wait = self.now + ep.out_for, ep.out_for
                 ep.forget()
