Drop withdrawals: rewritten tables do their work and leave nothing behind at rejoining proxies

Line changes live in the store, so a rejoining proxy reads them. Also: ejection needs failures with fast good answers, or nothing answered; shed levels come back while quiet.

--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -33,14 +33,14 @@
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
 BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
-DEAD_SHARE = 0.9  # failing share at which it is dead to its proxies, whatever the few good answers say
+DEAD_SHARE = 0.97  # failing share at which it is dead to its proxies, whatever the few good answers say
 SLOW_FROM = 1.6  # times the median latency from which weight is cut in proportion
 OUT_FIRST, OUT_MOST = 5 * SECOND, 20 * SECOND  # ns an ejected endpoint stays out, doubling
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
-EJECT_MOST = 0.5  # share of listed weight that may be out for health at a time
+EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
 SHED_LATENCY, CALM_LATENCY = 0.75, 0.45  # of the aim: shed above, let in again below
 SHED_FAILS = 0.15  # failing share at which an endpoint sheds
-SHED_STEP, SHED_BACK = 0.25, 0.125  # of a class a report period
+SHED_STEP, SHED_BACK = 0.25, 0.25  # of a class a report period
 LEVEL_GRAIN = 0.25  # levels are published in steps of this
 # -- channel
 URGENT_FILL, FILL = 0.47, 0.25  # of the channel's limit: for failures and rules, for balance
@@ -151,7 +151,6 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.slices: dict[int, Slice] = {}
         self.channel = Channel(settings)
-        self.benched: dict[str, bool] = {}  # withdrawn, as published
         self.listed = False  # a list newer than `restored` has come
         self.ask_at: int | None = 0 if settings.subscribe else None
         self.ask_fails = 0
@@ -434,7 +433,8 @@
                 continue
             rest, share = (fails - ep.fails) / max(1.0, tries - ep.tries), ep.fails / ep.tries
             # Failing with slow good answers is overload: to eject would only push the load onto the next.
-            sick = share > BAD_SHARE + rest and ep.latency < SLOW_FROM * self.median or share > DEAD_SHARE
+            sick = share > BAD_SHARE + rest and ep.latency < SLOW_FROM * self.median or (
+                share > DEAD_SHARE and ep.tries > 2 * MIN_TRIES)
             if sick and out + ep.weight <= EJECT_MOST * listed:
                 out += ep.weight
                 self.out.append(api.Log(
@@ -450,12 +450,11 @@
             return
         most = len(self.settings.classes) - 0.1
         for ep in self.endpoints.values():
-            if self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES:
-                continue
+            quiet = self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES
             late = ep.latency / self.aim
-            if late > SHED_LATENCY or ep.fails / ep.tries > SHED_FAILS:
+            if not quiet and (late > SHED_LATENCY or ep.fails / ep.tries > SHED_FAILS):
                 ep.shed = min(most, ep.shed + SHED_STEP)
-            elif late < CALM_LATENCY:
+            elif quiet or late < CALM_LATENCY:
                 ep.shed = max(0.0, ep.shed - SHED_BACK)
 
     def levels(self, piece: Slice) -> tuple[float, ...]:
@@ -536,13 +535,7 @@
         if self.greet and self.channel.room(self.now, FAILURE) > 2:
             self.greet = False
             lines += self.admits(None, full)
-        bench = {e.name: self.barred(e.name) or self.ejected(e) for e in self.endpoints.values()
-                 if e.state != "unlisted"}
-        for name, out in bench.items():
-            if out != self.benched.get(name, False) and self.channel.room(self.now, RULE) > len(lines):
-                self.benched[name] = out
-                lines.append(api.Withdraw(name, out))
-        todo = []
+        todo, cap = [], self.usable()
         for piece in self.slices.values():
             orders, levels = [], self.levels(piece)
             if piece.lines != piece.wanted():
@@ -550,7 +543,8 @@
             if levels != (piece.levels or full):
                 orders += self.admits(piece.number, levels)
             if orders:
-                urgency = RULE if not any(n in bench and not bench[n] for n in piece.lines) else piece.urgency
+                must = any(map(self.barred, piece.lines)) or not any(n in cap for n in piece.lines)
+                urgency = RULE if must else piece.urgency
                 todo.append((urgency, -piece.heat, piece.number, piece, orders, levels))
         for urgency, _, _, piece, orders, levels in sorted(todo, key=lambda t: t[:3]):
             if len(lines) + len(orders) <= self.channel.room(self.now, urgency):
