--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -28,7 +28,7 @@
 MOVE_CAP = 0.05  # share of own slices that a round may move
 # -- exceptions
 HOT_SHARE = 0.6  # of an average endpoint's fair heat: a slice above this gets further lines
-COLD_HEADROOM = 1.0  # times the fair share of a cold endpoint's present capacity
+COLD_HEADROOM = 0.6  # times the fair share of a cold endpoint's present capacity
 SPARE_WEIGHT = 0.02  # weight of a spare line: there to fail over to, hardly used otherwise
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
@@ -39,7 +39,8 @@
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
 STRAINED = 0.35  # share of listed weight in distress from which demand exceeds capacity: below, move
-SPEED_GAIN, SPEED_BACK = 0.25, 1.02  # a report period's step of the learned speed, down and back up
+GRAVE = 1.4  # times those marks at which an endpoint sheds alone, while its slices are on their way
+SPEED_GAIN, SPEED_BACK = 0.4, 1.02  # a report period's step of the learned speed, down and back up
 SHED_LATENCY, CALM_LATENCY = 0.75, 0.45  # of the aim: shed above, let in again below
 SHED_FAILS = 0.15  # failing share at which an endpoint sheds
 SHED_STEP, SHED_BACK = 0.25, 0.25  # of a class a report period
@@ -426,7 +427,7 @@
         tries, fails = sum(e.tries for e in fresh), sum(e.fails for e in fresh)
         listed = sum(e.weight for e in self.endpoints.values() if e.state == "in_service")
         out = sum(e.weight for e in self.endpoints.values() if e.state == "in_service" and self.ejected(e))
-        self.strained = sum(e.weight for e in fresh if self.distress(e)) > STRAINED * listed
+        self.strained = sum(e.weight for e in fresh if self.distress(e, 1.0)) > STRAINED * listed
         for ep in fresh:
             if ep.latency > SLOW_FROM * self.median and ep.latency > CALM_LATENCY * self.aim:
                 ep.speed = max(0.1, ep.speed * (SLOW_FROM * self.median / ep.latency) ** SPEED_GAIN)
@@ -455,16 +456,16 @@
             return
         most = len(self.settings.classes) - 0.1
         for ep in self.endpoints.values():
-            if self.strained and self.distress(ep):
+            if self.distress(ep, 1.0 if self.strained else GRAVE):
                 ep.shed = min(most, ep.shed + SHED_STEP)
-            elif not self.distress(ep) or not self.strained:
+            elif not self.distress(ep, 1.0):
                 ep.shed = max(0.0, ep.shed - SHED_BACK)
 
-    def distress(self, ep: Endpoint) -> bool:
+    def distress(self, ep: Endpoint, degree: float) -> bool:
         """Answers late or not at all, by fresh evidence."""
         if self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES:
             return False
-        return ep.latency > SHED_LATENCY * self.aim or ep.fails > SHED_FAILS * ep.tries
+        return ep.latency > degree * SHED_LATENCY * self.aim or ep.fails > degree * SHED_FAILS * ep.tries
 
     def levels(self, piece: Slice) -> tuple[float, ...]:
         """Admission level of each class for a slice, from what its homes shed."""
