--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -17,17 +17,17 @@
 SECOND = 1_000_000_000
 TICK = SECOND // 4  # ns between looks at the clock: well under any grace
 # -- the design's search; values the design marks "ours" and leaves open
-PERIOD = 2 * SECOND  # ns between rounds: heat moves within ten seconds or so
+PERIOD = 4 * SECOND  # ns between rounds: heat moves within ten seconds or so
 SLOP = 0.3  # share off the mean that is still even: slices are lumpy
 STEP_FACTOR = 1.0  # steps per slice and endpoint
 MAX_STEPS = 6000  # steps a round: bounds the CPU of very large fleets
 MIN_GAIN = 0.002  # cost a kept step must save
 HEAT_TAU = 12.0  # s over which heat is averaged
 WARM_TAU = 15.0  # s in which an endpoint warms to a slice, or forgets it
-COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 0.6  # cost weights: heat is what queues
+COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
 MOVE_CAP = 0.05  # share of own slices that a round may move
 # -- exceptions
-HOT_SHARE = 0.6  # of an average endpoint's fair heat: a slice above this gets further lines
+HOT_SHARE = 0.35  # of an average endpoint's fair heat: a slice above this gets further lines
 COLD_HEADROOM = 0.6  # times the fair share of a cold endpoint's present capacity
 SPARE_WEIGHT = 0.02  # weight of a spare line: there to fail over to, hardly used otherwise
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
@@ -38,9 +38,6 @@
 OUT_FIRST, OUT_MOST = 5 * SECOND, 20 * SECOND  # ns an ejected endpoint stays out, doubling
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
-STRAINED = 0.35  # share of listed weight in distress from which demand exceeds capacity: below, move
-GRAVE = 1.4  # times those marks at which an endpoint sheds alone, while its slices are on their way
-SPEED_GAIN, SPEED_BACK = 0.4, 1.02  # a report period's step of the learned speed, down and back up
 SHED_LATENCY, CALM_LATENCY = 0.75, 0.45  # of the aim: shed above, let in again below
 SHED_FAILS = 0.15  # failing share at which an endpoint sheds
 SHED_STEP, SHED_BACK = 0.25, 0.25  # of a class a report period
@@ -64,7 +61,7 @@
         self.heard = 0  # when evidence last came
         self.out_until = self.back_since = 0
         self.out_for = OUT_FIRST
-        self.shed, self.speed = 0.0, 1.0  # classes shed; learned correction of the listed weight
+        self.shed = 0.0
 
 
 class Slice:
@@ -160,7 +157,7 @@
         self.greet = True  # standing orders must be sent (again)
         self.tick_at = self.round_at = self.judge_at = 0
         self.report_at = 0
-        self.median, self.strained = 0.0, False
+        self.median = 0.0
         self.changed = True
         self.out: list[api.Action] = []
         self.bound: dict[int, bool] = {}
@@ -293,7 +290,9 @@
         share = self.ramp(ep)
         if ep.back_since:
             share *= min(1.0, RETURN_SHARE + (self.now - ep.back_since) / RETURN_TIME)
-        return ep.weight * share * ep.speed
+        if self.median and ep.latency > SLOW_FROM * self.median:
+            share *= max(0.1, SLOW_FROM * self.median / ep.latency)
+        return ep.weight * share
 
     def usable(self) -> dict[str, float]:
         """Endpoints that may take slices, with their present capacity. Never empty without need:
@@ -427,12 +426,7 @@
         tries, fails = sum(e.tries for e in fresh), sum(e.fails for e in fresh)
         listed = sum(e.weight for e in self.endpoints.values() if e.state == "in_service")
         out = sum(e.weight for e in self.endpoints.values() if e.state == "in_service" and self.ejected(e))
-        self.strained = sum(e.weight for e in fresh if self.distress(e, 1.0)) > STRAINED * listed
         for ep in fresh:
-            if ep.latency > SLOW_FROM * self.median and ep.latency > CALM_LATENCY * self.aim:
-                ep.speed = max(0.1, ep.speed * (SLOW_FROM * self.median / ep.latency) ** SPEED_GAIN)
-            elif ep.latency < 1.2 * self.median:
-                ep.speed = min(1.0, ep.speed * SPEED_BACK)
             if ep.back_since and self.now - ep.back_since > RETURN_TIME:
                 ep.back_since, ep.out_for = 0, OUT_FIRST
             if self.ejected(ep) or ep.tries < MIN_TRIES:
@@ -456,17 +450,13 @@
             return
         most = len(self.settings.classes) - 0.1
         for ep in self.endpoints.values():
-            if self.distress(ep, 1.0 if self.strained else GRAVE):
+            quiet = self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES
+            late = ep.latency / self.aim
+            if not quiet and (late > SHED_LATENCY or ep.fails / ep.tries > SHED_FAILS):
                 ep.shed = min(most, ep.shed + SHED_STEP)
-            elif not self.distress(ep, 1.0):
+            elif quiet or late < CALM_LATENCY:
                 ep.shed = max(0.0, ep.shed - SHED_BACK)
 
-    def distress(self, ep: Endpoint, degree: float) -> bool:
-        """Answers late or not at all, by fresh evidence."""
-        if self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES:
-            return False
-        return ep.latency > degree * SHED_LATENCY * self.aim or ep.fails > degree * SHED_FAILS * ep.tries
-
     def levels(self, piece: Slice) -> tuple[float, ...]:
         """Admission level of each class for a slice, from what its homes shed."""
         sheds = [self.endpoints[h].shed for h in piece.homes]
