--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -27,7 +27,7 @@
 COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
 MOVE_CAP = 0.05  # share of own slices that a round may move
 # -- exceptions
-HOT_SHARE = 0.35  # of an average endpoint's fair heat: a slice above this gets further lines
+HOT_SHARE = 0.2  # of an average endpoint's fair heat: a slice above this gets further lines
 COLD_HEADROOM = 0.6  # times the fair share of a cold endpoint's present capacity
 SPARE_WEIGHT = 0.02  # weight of a spare line: there to fail over to, hardly used otherwise
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
@@ -39,7 +39,7 @@
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
 SHED_LATENCY, CALM_LATENCY = 0.75, 0.45  # of the aim: shed above, let in again below
-SHED_FAILS = 0.15  # failing share at which an endpoint sheds
+SHED_FAILS = 0.3  # failing share at which an endpoint sheds
 SHED_STEP, SHED_BACK = 0.25, 0.25  # of a class a report period
 LEVEL_GRAIN = 0.25  # levels are published in steps of this
 # -- channel
