--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -34,7 +34,9 @@
 MIN_TRIES = 4.0  # tries behind a verdict
 BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
 DEAD_SHARE = 0.97  # failing share at which it is dead to its proxies, whatever the few good answers say
-SLOW_FROM = 1.6  # times the median latency from which weight is cut in proportion
+SLOW_FROM = 1.6  # times the median latency from which good answers count as slow
+SPEED_DOWN, SPEED_UP = 0.25, 0.12  # how far learned speed follows the observed each report period
+SPEED_LEAST, SPEED_MOST = 0.1, 2.0  # bounds of the learned speed
 OUT_FIRST, OUT_MOST = 5 * SECOND, 20 * SECOND  # ns an ejected endpoint stays out, doubling
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
@@ -61,7 +63,7 @@
         self.heard = 0  # when evidence last came
         self.out_until = self.back_since = 0
         self.out_for = OUT_FIRST
-        self.shed = 0.0
+        self.shed, self.speed = 0.0, 1.0  # classes shed; learned speed against the fleet's
 
 
 class Slice:
@@ -290,9 +292,7 @@
         share = self.ramp(ep)
         if ep.back_since:
             share *= min(1.0, RETURN_SHARE + (self.now - ep.back_since) / RETURN_TIME)
-        if self.median and ep.latency > SLOW_FROM * self.median:
-            share *= max(0.1, SLOW_FROM * self.median / ep.latency)
-        return ep.weight * share
+        return ep.weight * share * ep.speed
 
     def usable(self) -> dict[str, float]:
         """Endpoints that may take slices, with their present capacity. Never empty without need:
@@ -426,6 +426,7 @@
         tries, fails = sum(e.tries for e in fresh), sum(e.fails for e in fresh)
         listed = sum(e.weight for e in self.endpoints.values() if e.state == "in_service")
         out = sum(e.weight for e in self.endpoints.values() if e.state == "in_service" and self.ejected(e))
+        self.learn_speed(fresh)
         for ep in fresh:
             if ep.back_since and self.now - ep.back_since > RETURN_TIME:
                 ep.back_since, ep.out_for = 0, OUT_FIRST
@@ -444,6 +445,17 @@
                 ep.forget()
                 ep.out_until, ep.back_since, ep.out_for = until, until, min(2 * wait, OUT_MOST)
 
+    def learn_speed(self, fresh: list[Endpoint]) -> None:
+        """Exception (doubt: listed weight does not tell speed): capacity follows how fast an endpoint answers
+        against the fleet's median. Its own queue slows it too, so what is overloaded loses weight until it
+        is not. Harm: an endpoint whose keys are costly looks slow."""
+        warm = [ep for ep in fresh if self.ramp(ep) >= 1 and ep.tries >= MIN_TRIES and ep.latency]
+        times = sorted(ep.latency for ep in warm)
+        for ep in warm:
+            target = times[len(times) // 2] / ep.latency
+            gain = SPEED_DOWN if target < ep.speed else SPEED_UP
+            ep.speed *= (min(SPEED_MOST, max(SPEED_LEAST, target)) / ep.speed) ** gain
+
     def shed(self) -> None:
         """Exception: an endpoint that answers late or not at all sheds the class of least worth first."""
         if self.settings.admission != "ratio":
