--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -22,7 +22,7 @@
 STEP_FACTOR = 1.0  # steps per slice and endpoint
 MAX_STEPS = 6000  # steps a round: bounds the CPU of very large fleets
 MIN_GAIN = 0.002  # cost a kept step must save
-HEAT_TAU = 12.0  # s over which heat is averaged
+HEAT_TAU = 9.0  # s over which heat is averaged
 WARM_TAU = 15.0  # s in which an endpoint warms to a slice, or forgets it
 COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
 MOVE_CAP = 0.05  # share of own slices that a round may move
@@ -40,10 +40,10 @@
 OUT_FIRST, OUT_MOST = 5 * SECOND, 20 * SECOND  # ns an ejected endpoint stays out, doubling
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
-SHED_LATENCY, CALM_LATENCY = 0.75, 0.45  # of the aim: shed above, let in again below
-SHED_FAILS = 0.3  # failing share at which an endpoint sheds
-SHED_STEP, SHED_BACK = 0.25, 0.25  # of a class a report period
-LEVEL_GRAIN = 0.25  # levels are published in steps of this
+SHED_LATENCY, CALM_LATENCY = 0.5, 0.35  # of the aim: allow less above, more below
+CUT_TO, ALLOW_UP = 0.75, 1.08  # of the answers seen, so that the queue drains; growth a report period
+CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
+LEVEL_GRAIN, LEVEL_LEAST = 0.125, 0.05  # levels are published in these steps; no class is shut out
 # -- channel
 URGENT_FILL, FILL = 0.47, 0.25  # of the channel's limit: for failures and rules, for balance
 RULE_MESSAGES, FAIL_MESSAGES, MESSAGES = 1.0, 0.75, 0.5  # of the messages allowed, by urgency
@@ -63,7 +63,8 @@
         self.heard = 0  # when evidence last came
         self.out_until = self.back_since = 0
         self.out_for = OUT_FIRST
-        self.shed, self.speed = 0.0, 1.0  # classes shed; learned speed against the fleet's
+        self.speed = 1.0  # learned, against the fleet's median
+        self.allow, self.cut_at = math.inf, 0  # requests a second it may be sent; when last cut
 
 
 class Slice:
@@ -160,6 +161,7 @@
         self.tick_at = self.round_at = self.judge_at = 0
         self.report_at = 0
         self.median = 0.0
+        self.share: dict[str, float] = {}  # of what is offered, by endpoint
         self.changed = True
         self.out: list[api.Action] = []
         self.bound: dict[int, bool] = {}
@@ -457,28 +459,34 @@
             ep.speed *= (min(SPEED_MOST, max(SPEED_LEAST, target)) / ep.speed) ** gain
 
     def shed(self) -> None:
-        """Exception: an endpoint that answers late or not at all sheds the class of least worth first."""
-        if self.settings.admission != "ratio":
-            return
-        most = len(self.settings.classes) - 0.1
+        """Exception: an endpoint that answers late is allowed a little less than it was seen to answer, then
+        slowly more. In requests, not in steps of a level: late reports would drive steps far past the mark,
+        and clients' repeats change what a level lets through."""
+        span = self.settings.report_period / SECOND
+        seen = span / (1 - math.exp(-span / EVIDENCE_TAU))  # s of answers in the decayed sums
+        offered = self.loads(self.endpoints)
         for ep in self.endpoints.values():
             quiet = self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES
-            late = ep.latency / self.aim
-            if not quiet and (late > SHED_LATENCY or ep.fails / ep.tries > SHED_FAILS):
-                ep.shed = min(most, ep.shed + SHED_STEP)
-            elif quiet or late < CALM_LATENCY:
-                ep.shed = max(0.0, ep.shed - SHED_BACK)
+            if not quiet and ep.latency > SHED_LATENCY * self.aim:
+                if self.now - ep.cut_at > CUT_HOLD:
+                    ep.allow, ep.cut_at = max(1.0, CUT_TO * (ep.tries - ep.fails) / seen), self.now
+            elif quiet or ep.latency < CALM_LATENCY * self.aim:
+                ep.allow = ep.allow * ALLOW_UP if ep.allow < 2 * offered[ep.name] else math.inf
+        self.share = {n: min(1.0, self.endpoints[n].allow / max(1e-6, heat)) for n, heat in offered.items()}
 
     def levels(self, piece: Slice) -> tuple[float, ...]:
-        """Admission level of each class for a slice, from what its homes shed."""
-        sheds = [self.endpoints[h].shed for h in piece.homes]
-        shed = sum(sheds) / len(sheds) if sheds else 0.0
-        classes = self.settings.classes
-        order = sorted(range(len(classes)), key=lambda k: classes[k].worth)
-        result = [1.0] * len(classes)
-        for rank, k in enumerate(order):
-            level = 1 - min(1.0, max(0.0, shed - rank))
-            result[k] = math.ceil(level / LEVEL_GRAIN - 1e-6) * LEVEL_GRAIN
+        """Admission level of each class for a slice: what its homes allow goes to the most worth first."""
+        full = (1.0,) * len(self.settings.classes)
+        if self.settings.admission != "ratio" or not piece.homes:
+            return full
+        share = sum(self.share.get(h, 1.0) for h in piece.homes) / len(piece.homes)
+        if share > 1 - LEVEL_GRAIN / 2:
+            return full
+        left, result = share * piece.heat, list(full)
+        for k in sorted(range(len(full)), key=lambda k: -self.settings.classes[k].worth):
+            level = max(LEVEL_LEAST, min(1.0, left / max(1e-6, piece.rates[k])))
+            left -= level * piece.rates[k]
+            result[k] = max(LEVEL_LEAST, round(level / LEVEL_GRAIN) * LEVEL_GRAIN)
         return tuple(result)
 
     def split_hot(self) -> None:
