--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -25,10 +25,10 @@
 HEAT_TAU = 9.0  # s over which heat is averaged
 WARM_TAU = 15.0  # s in which an endpoint warms to a slice, or forgets it
 COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
-MOVE_CAP = 0.05  # share of own slices that a round may move
+MOVE_CAP = 0.07  # share of own slices that a round may move
 # -- exceptions
-HOT_SHARE = 0.2  # of an average endpoint's fair heat: a slice above this gets further lines
-COLD_HEADROOM = 0.6  # times the fair share of a cold endpoint's present capacity
+HOT_SHARE = 0.12  # of an average endpoint's fair heat: a slice above this gets further lines
+COLD_HEADROOM = 0.9  # times the fair share of a cold endpoint's present capacity
 SPARE_WEIGHT = 0.02  # weight of a spare line: there to fail over to, hardly used otherwise
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
@@ -41,7 +41,7 @@
 RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
 SHED_LATENCY, CALM_LATENCY = 0.5, 0.35  # of the aim: allow less above, more below
-CUT_TO, ALLOW_UP = 0.75, 1.08  # of the answers seen, so that the queue drains; growth a report period
+CUT_TO, ALLOW_UP = 0.75, 1.15  # of the answers seen, so that the queue drains; growth a report period
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 LEVEL_GRAIN, LEVEL_LEAST = 0.125, 0.05  # levels are published in these steps; no class is shut out
 # -- channel
@@ -437,7 +437,7 @@
             rest, share = (fails - ep.fails) / max(1.0, tries - ep.tries), ep.fails / ep.tries
             # Failing with slow good answers is overload: to eject would only push the load onto the next.
             sick = share > BAD_SHARE + rest and ep.latency < SLOW_FROM * self.median or (
-                share > DEAD_SHARE and ep.tries > 2 * MIN_TRIES)
+                share > DEAD_SHARE and rest < 0.5 and ep.tries > 2 * MIN_TRIES)
             if sick and out + ep.weight <= EJECT_MOST * listed:
                 out += ep.weight
                 self.out.append(api.Log(
@@ -470,6 +470,8 @@
             if not quiet and ep.latency > SHED_LATENCY * self.aim:
                 if self.now - ep.cut_at > CUT_HOLD:
                     ep.allow, ep.cut_at = max(1.0, CUT_TO * (ep.tries - ep.fails) / seen), self.now
+            elif self.now - self.report_at > 2 * self.settings.report_period:
+                continue  # reports are late for all: hold
             elif quiet or ep.latency < CALM_LATENCY * self.aim:
                 ep.allow = ep.allow * ALLOW_UP if ep.allow < 2 * offered[ep.name] else math.inf
         self.share = {n: min(1.0, self.endpoints[n].allow / max(1e-6, heat)) for n, heat in offered.items()}
