--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -27,9 +27,8 @@
 COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
 MOVE_CAP = 0.07  # share of own slices that a round may move
 # -- exceptions
-HOT_SHARE = 0.12  # of an average endpoint's fair heat: a slice above this gets further lines
+HOT_SHARE = 0.1  # of an average endpoint's fair heat: a slice above this gets further lines
 COLD_HEADROOM = 0.9  # times the fair share of a cold endpoint's present capacity
-SPARE_WEIGHT = 0.02  # weight of a spare line: there to fail over to, hardly used otherwise
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
 BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
@@ -73,7 +72,6 @@
     def __init__(self, number: int, now: int) -> None:
         self.number = number
         self.homes: list[str] = []
-        self.spare: str | None = None
         self.lines: dict[str, float] = {}  # as published
         self.rates: list[float] = []  # requests a second by class, averaged
         self.heard: list[int] = []
@@ -89,8 +87,7 @@
     def wanted(self) -> dict[str, float]:
         lines = dict.fromkeys(self.homes, 1.0)
         if self.spare is not None and self.spare not in lines:
-            lines[self.spare] = SPARE_WEIGHT
-        return lines
+            lines[self.spare] =         return lines
 
 
 class Channel:
@@ -164,7 +161,6 @@
         self.share: dict[str, float] = {}  # of what is offered, by endpoint
         self.changed = True
         self.out: list[api.Action] = []
-        self.bound: dict[int, bool] = {}
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         """Take in what happened, then order what follows from it."""
@@ -211,7 +207,6 @@
     def on_ProxyJoined(self, event: api.ProxyJoined) -> None:
         self.channel.left(event.proxy)
         self.channel.open[event.proxy] = deque()
-        self.bound.pop(event.proxy, None)
         self.greet = True
 
     def on_ProxyLeft(self, event: api.ProxyLeft) -> None:
@@ -234,8 +229,7 @@
             return
         self.endpoint(event.endpoint)
         piece.lines[event.endpoint] = event.weight
-        if event.weight > 5 * SPARE_WEIGHT:
-            piece.homes.append(event.endpoint)
+        if event.weight > 5 *             piece.homes.append(event.endpoint)
             piece.warmth[event.endpoint] = 1.0
         else:
             piece.spare = event.endpoint
@@ -299,9 +293,7 @@
     def usable(self) -> dict[str, float]:
         """Endpoints that may take slices, with their present capacity. Never empty without need:
         doubtful endpoints are better than none."""
-        fit = [ep for ep in self.endpoints.values() if ep.state == "in_service"]
-        if not fit:
-            fit = [ep for ep in self.endpoints.values() if not self.barred(ep.name)]
+        fit = [ep for ep in self.endpoints.values() if not self.barred(ep.name)]
         well = [ep for ep in fit if not self.ejected(ep)]
         return {ep.name: self.capacity(ep) for ep in (well or fit)}
 
@@ -326,13 +318,10 @@
         total = sum(load.values()) + 1e-9
         mean = total / (sum(cap.values()) + 1e-9)
         for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
-            bad = [h for h in piece.homes if h not in cap and (self.barred(h) or cap)]
+            bad = [h for h in piece.homes if h not in cap]
             piece.homes = [h for h in piece.homes if h not in bad]
             if bad:
                 piece.urgency = min(piece.urgency, RULE if any(map(self.barred, bad)) else FAILURE)
-            if piece.spare is not None and (piece.spare not in cap or piece.spare in piece.homes):
-                piece.urgency = min(piece.urgency, RULE if self.barred(piece.spare) else FAILURE)
-                piece.spare = None
             # Cold endpoints fall over when pushed: what they hold above their share leaves.
             for home in list(piece.homes):
                 ep = self.endpoints[home]
@@ -347,8 +336,6 @@
                 best = self.roomiest(cap, load, heat, mean, []) or max(cap, key=lambda n: (cap[n], n))
                 piece.homes = [best]
                 load[best] += heat
-        if not self.settings.sole_owner:
-            self.place_spares(cap, load)
 
     def roomiest(
         self, cap: dict[str, float], load: dict[str, float], heat: float, mean: float, taken: list[str],
@@ -364,24 +351,6 @@
                 best, least = name, level
         return best
 
-    def place_spares(self, cap: dict[str, float], load: dict[str, float]) -> None:
-        """Exception: a second, hardly used line lets proxies fail over on their own when a server dies,
-        hangs or is cut off, long before any report. Another zone where there is one; warm servers only."""
-        extra = dict(load)
-        warm = [n for n in cap if self.ramp(self.endpoints[n]) >= 1 and not self.endpoints[n].back_since]
-        for piece in self.slices.values():
-            if piece.spare is not None:
-                extra[piece.spare] = extra.get(piece.spare, 0.0) + self.unit(piece) / 2
-        for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
-            if piece.spare is None and len(piece.homes) == 1:
-                zone = self.endpoints[piece.homes[0]].zone
-                others = [n for n in warm if n not in piece.homes]
-                away = [n for n in others if self.endpoints[n].zone != zone]
-                if others:
-                    heat = self.unit(piece) / 2
-                    piece.spare = min(away or others, key=lambda n: ((extra[n] + heat) / cap[n], n))
-                    extra[piece.spare] += heat
-
     def tick(self) -> None:
         """The slow clockwork: list, health, levels, rounds."""
         if self.ask_at is not None and self.now >= self.ask_at:
@@ -520,8 +489,6 @@
         if search.skewed():
             for piece, homes in search.run():
                 piece.homes = homes
-                if piece.spare in homes:
-                    piece.spare = None
             self.evacuate()
 
     # ---- publishing ---------------------------------------------------------------------------------
@@ -675,9 +642,8 @@
         piece, _ = self.units[unit]
         if self.names[to] in piece.homes and to != self.start[unit]:
             return False
-        if self.cold[to] and self.load[to] + self.heat[unit] > COLD_HEADROOM * self.total / self.weight * self.cap[to]:
-            return False
-        return True
+        mean = self.total / self.weight
+        return not self.cold[to] or self.load[to] + self.heat[unit] <= COLD_HEADROOM * mean * self.cap[to]
 
     def run(self) -> list[tuple[Slice, list[str]]]:
         """Keep a step only if it is cheaper by the least gain; return the slices that end elsewhere."""
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,102 @@
+"""Builders for small worlds seen through `Planner.handle`."""
+
+from __future__ import annotations
+
+from damsonpick import interface as api
+from damsonpick.choice import Planner
+
+SECOND = 1_000_000_000
+START = 100 * SECOND
+
+
+def settings(**changes: object) -> api.Settings:
+    base = api.Settings(
+        instance=0, instances=1, zone="a",
+        classes=(
+            api.RequestClass("cheap", SECOND, 3 * SECOND, "read_like", "all", 0, 1.0),
+            api.RequestClass("dear", SECOND, 3 * SECOND, "non_idempotent", "all", 0, 5.0),
+        ),
+        slices=12, proxies=2, sole_owner=False, admission="ratio", subscribe=False, ask_every=10 * SECOND,
+        channel_rate=4000.0, channel_limit=6000.0, message_overhead=8.0, messages_per_window=0,
+        message_window=10 * SECOND, transit_max=SECOND // 2, report_period=SECOND,
+        drain_grace=2 * SECOND, cold_share=0.2, cold_time=15 * SECOND, write_linger=SECOND // 50,
+        write_lease=SECOND, load_fields=(), pick="pair",
+    )
+    return base._replace(**changes)
+
+
+def entry(name: str, state: str = "in_service", weight: float = 1.0, started: int = 0, zone: str = "a"):
+    return api.ListEntry(name, zone, state, weight, started)
+
+
+class World:
+    """A planner, the tables its orders produce, and proxies that acknowledge at once."""
+
+    def __init__(self, names: str = "pqrs", slices: int = 12, seed: int = 1, proxies: int = 2, **changes):
+        self.settings = settings(slices=slices, **changes)
+        self.planner = Planner(self.settings, seed)
+        self.now = START
+        self.tables: dict[int, dict[str, float]] = {}
+        self.levels: dict[tuple[int | None, int], float] = {}
+        self.names = list(names)
+        self.acks = True
+        self.log: list[api.Action] = []
+        events = [api.ListChanged("restored", tuple(entry(n) for n in names)),
+                  api.ListChanged("replace", tuple(entry(n) for n in names))]
+        events += [api.ProxyJoined(k, "a", 5.0, True) for k in range(proxies)]
+        for number in range(slices):
+            events += [api.CustodyChanged(number, True), api.StoredLine(number, names[number % len(names)], 1.0)]
+            self.tables[number] = {names[number % len(names)]: 1.0}
+        self.proxies = list(range(proxies))
+        self.tell(*events)
+
+    def tell(self, *events: api.Event) -> list[api.Action]:
+        """Hand over events at the present time and apply the orders."""
+        orders = self.planner.handle(self.now, list(events))
+        self.log += orders
+        acks = []
+        for order in orders:
+            if isinstance(order, api.SetLine):
+                table = self.tables.setdefault(order.table, {})
+                if order.weight > 0:
+                    if self.settings.sole_owner:
+                        table.clear()
+                    table[order.endpoint] = order.weight
+                else:
+                    table.pop(order.endpoint, None)
+            elif isinstance(order, api.Admit):
+                for k in order.classes:
+                    self.levels[order.table, k] = order.level
+            elif isinstance(order, api.Mark) and self.acks:
+                acks = [api.Applied(order.number, proxy, SECOND // 10) for proxy in self.proxies]
+        if acks:
+            orders = orders + self.tell(*acks)
+        return orders
+
+    def report(self, latency: dict[str, int] | None = None, failing: dict[str, float] | None = None,
+               rate: int = 20, tries: int = 20) -> list[api.Event]:
+        """One period's reports: latency in ms and failing share by endpoint, demand for every slice."""
+        events: list[api.Event] = []
+        for name in self.names:
+            bad = int(tries * (failing or {}).get(name, 0.0))
+            ms = (latency or {}).get(name, 200) if bad < tries else 0
+            events.append(api.EndpointReport("a", name, tries, bad, ms * 1_000_000, SECOND, ()))
+        for number in self.tables:
+            for k in ("cheap", "dear"):
+                events.append(api.SliceDemand(number, k, rate // 2, 0, SECOND))
+        return events
+
+    def run(self, seconds: float, **reports: object) -> list[api.Action]:
+        """Let time pass in ticks with a round of reports each second."""
+        orders: list[api.Action] = []
+        for step in range(int(seconds * 4)):
+            self.now += SECOND // 4
+            events = self.report(**reports) if step % 4 == 0 else []
+            orders += self.tell(api.TimerFired(0), *events)
+        return orders
+
+    def homes(self, number: int) -> set[str]:
+        return {name for name, weight in self.tables[number].items() if weight >= 0.5}
+
+    def count(self, name: str) -> int:
+        return sum(name in table for table in self.tables.values())
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,318 @@
+"""Behaviour of the planner, seen through `handle` alone."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from damsonpick import interface as api
+from damsonpick.choice import Planner
+
+from .helpers import SECOND, START, World, entry, settings
+
+
+def lines(orders):
+    return [o for o in orders if isinstance(o, api.SetLine)]
+
+
+def test_calm_fleet_is_left_alone():
+    world = World()
+    world.run(12, rate=2)
+    before = {n: dict(t) for n, t in world.tables.items()}
+    orders = world.run(20, rate=2)
+    moved = [n for n in before if set(before[n]) != set(world.tables[n])]
+    assert len(moved) <= 1
+    assert all(level == 1.0 for level in world.levels.values())
+    assert not [o for o in orders if isinstance(o, api.Withdraw)]
+
+
+def test_draining_endpoint_leaves_every_table_in_the_same_reply():
+    world = World()
+    world.run(4)
+    orders = world.tell(api.ListChanged("update", (entry("p", "terminating"),)))
+    assert world.count("p") == 0
+    first_add = next(i for i, o in enumerate(orders) if isinstance(o, api.SetLine) and o.weight > 0)
+    first_drop = next(i for i, o in enumerate(orders) if isinstance(o, api.SetLine) and o.weight == 0)
+    assert first_add < first_drop
+    assert all(world.tables.values())
+
+
+def test_endpoint_missing_from_a_full_list_is_evacuated():
+    world = World()
+    world.tell(api.ListChanged("replace", tuple(entry(n) for n in "qrs")))
+    assert world.count("p") == 0 and all(world.tables.values())
+
+
+def test_given_slice_with_an_empty_table_gets_a_line_at_once():
+    world = World()
+    world.tell(api.CustodyChanged(7, False))
+    world.tables[7] = {}
+    world.tell(api.CustodyChanged(7, True))
+    assert world.homes(7)
+
+
+def test_given_slice_naming_a_gone_endpoint_is_mended_at_once():
+    world = World()
+    world.tell(api.ListChanged("replace", tuple(entry(n) for n in "qrs")))
+    world.tell(api.CustodyChanged(5, False))
+    world.tables[5] = {"p": 1.0}
+    world.tell(api.CustodyChanged(5, True), api.StoredLine(5, "p", 1.0))
+    assert "p" not in world.tables[5] and world.tables[5]
+
+
+def test_slice_taken_away_gets_no_more_orders():
+    world = World()
+    world.tell(api.CustodyChanged(0, False))
+    orders = world.tell(api.ListChanged("update", (entry("p", "terminating"),)))
+    assert 0 not in {o.table for o in lines(orders)} and lines(orders)
+
+
+def test_store_is_trusted_over_an_old_restored_list():
+    planner = Planner(settings(), 1)
+    orders = planner.handle(START, [
+        api.ListChanged("restored", (entry("q"),)), api.ProxyJoined(0, "a", 1.0, True),
+        api.CustodyChanged(0, True), api.StoredLine(0, "new", 1.0)])
+    assert not [o for o in lines(orders) if o.endpoint == "new" and o.weight == 0]
+    orders = planner.handle(START + SECOND, [api.ListChanged("replace", (entry("q"),))])
+    assert [o for o in lines(orders) if o.endpoint == "new" and o.weight == 0]
+
+
+def test_subscribes_at_once_and_asks_again_with_growing_pauses_after_failures():
+    planner = Planner(settings(subscribe=True), 1)
+    asks, now = [], START
+    if any(isinstance(o, api.Subscribe) for o in planner.handle(now, [])):
+        asks.append(now)
+    for _ in range(200):
+        now += SECOND // 4
+        events = [api.ListChanged("unavailable", ())] if asks[-1] == now - SECOND // 4 else []
+        if any(isinstance(o, api.Subscribe) for o in planner.handle(now, events)):
+            asks.append(now)
+    gaps = [b - a for a, b in zip(asks, asks[1:], strict=False)]
+    assert asks[0] == START and len(asks) > 5
+    assert max(gaps) > 2 * min(gaps) and max(gaps) < 10 * SECOND
+
+
+def test_unanswered_subscription_is_asked_for_again():
+    planner = Planner(settings(subscribe=True), 1)
+    planner.handle(START, [])
+    orders = [o for k in range(1, 80) for o in planner.handle(START + k * SECOND // 4, [])]
+    assert [o for o in orders if isinstance(o, api.Subscribe)]
+
+
+def test_hung_endpoint_is_evacuated_and_comes_back_gradually():
+    world = World()
+    world.run(6)
+    world.run(4, failing={"p": 1.0})
+    assert world.count("p") == 0
+    world.run(30)
+    assert world.count("p") > 0
+
+
+def test_failing_fast_is_evacuated_while_overloaded_is_not():
+    world = World()
+    world.run(6)
+    world.run(4, failing={"p": 0.6, "q": 0.6}, latency={"q": 900})
+    assert not [n for n in world.tables if "p" in world.homes(n)]
+    assert [n for n in world.tables if "q" in world.homes(n)]
+
+
+def test_fleet_wide_failure_ejects_nobody():
+    world = World()
+    world.run(4)
+    world.run(6, failing=dict.fromkeys("pqrs", 0.9))
+    assert all(any(name in world.homes(n) for n in world.tables) for name in "pqrs")
+
+
+def test_health_takes_out_a_limited_share():
+    world = World(names="pqrst", slices=20)
+    world.run(4)
+    world.run(3, failing={"p": 1.0, "q": 1.0, "r": 1.0})
+    out = [n for n in "pqrst" if world.count(n) == 0]
+    assert 1 <= len(out) <= 2
+
+
+def test_slow_endpoint_loses_load():
+    world = World(slices=24)
+    world.run(6)
+    before = sum("p" in world.homes(n) for n in world.tables)
+    world.run(25, latency={"p": 700})
+    assert sum("p" in world.homes(n) for n in world.tables) < before
+
+
+def test_restarted_endpoint_is_cold_and_keeps_only_its_share():
+    world = World(slices=24)
+    world.run(8)
+    before = world.count("p")
+    world.tell(api.ListChanged("update", (entry("p", started=world.now),)))
+    assert world.count("p") < before / 2
+    assert all(world.tables.values())
+
+
+def test_new_cold_endpoint_fills_up_as_it_warms():
+    world = World(slices=24)
+    world.run(8)
+    world.names.append("z")
+    world.tell(api.ListChanged("update", (entry("z", started=world.now),)))
+    world.run(1)
+    early = sum("z" in world.homes(n) for n in world.tables)
+    world.run(40)
+    assert sum("z" in world.homes(n) for n in world.tables) > early
+
+
+def test_only_cold_endpoints_left_still_get_the_slices():
+    world = World()
+    world.tell(api.ListChanged("replace", tuple(entry(n, started=START) for n in "yz")))
+    assert all(table and set(table) <= {"y", "z"} for table in world.tables.values())
+
+
+def test_hot_slice_gets_further_lines():
+    world = World()
+    for _ in range(12):
+        world.run(1)
+        world.tell(api.SliceDemand(3, "cheap", 400, 0, SECOND))
+    assert len(world.homes(3)) > 1
+
+
+def test_sole_owner_tables_keep_one_line():
+    world = World(sole_owner=True)
+    for _ in range(12):
+        world.run(1)
+        world.tell(api.SliceDemand(3, "cheap", 400, 0, SECOND))
+    assert all(len(table) == 1 for table in world.tables.values())
+    assert not [o for o in lines(world.log) if o.weight == 0]
+
+
+def test_overload_sheds_the_class_of_least_worth_first():
+    world = World()
+    world.run(6)
+    world.run(6, latency=dict.fromkeys("pqrs", 900))
+    cheap = [level for (table, k), level in world.levels.items() if k == 0 and table is not None]
+    dear = [level for (table, k), level in world.levels.items() if k == 1 and table is not None]
+    assert cheap and min(cheap) < min(dear, default=1.0)
+    world.run(60, latency=dict.fromkeys("pqrs", 100))
+    assert all(level == 1.0 for level in world.levels.values())
+
+
+def test_unsafe_classes_never_retry_without_proof():
+    world = World()
+    world.run(10, latency=dict.fromkeys("pqrs", 900), failing={"p": 1.0})
+    modes = {o.retry for o in world.log if isinstance(o, api.Admit) and 1 in o.classes}
+    assert modes and modes <= {0, 1}
+
+
+def test_channel_stays_under_half_of_its_limit_without_acknowledgements():
+    world = World(slices=60, channel_limit=1500.0)
+    world.acks = False
+    waiting = 0.0
+    world.log.clear()
+    for k in range(40):
+        name = "pqrs"[k % 4]
+        state = "terminating" if k % 8 < 4 else "in_service"
+        world.now += SECOND // 4
+        orders = world.tell(api.ListChanged("update", (entry(name, state),)))
+        cost = sum(isinstance(o, api.SetLine | api.Admit | api.Mark) for o in orders)
+        waiting += 2 * (cost + 8) if cost else 0
+    assert 0 < waiting < 750
+
+
+def test_messages_to_a_proxy_stay_within_the_window():
+    world = World(slices=60, messages_per_window=12)
+    sent = []
+    for k in range(200):
+        world.now += SECOND // 4
+        name = "pqrs"[k % 4]
+        state = "terminating" if k % 8 < 4 else "in_service"
+        orders = world.tell(api.ListChanged("update", (entry(name, state),)), *world.report())
+        sent += [world.now] * sum(isinstance(o, api.Mark) for o in orders)
+    assert sent
+    assert max(sum(t - 10 * SECOND < s <= t for s in sent) for t in sent) <= 12
+
+
+def test_late_reports_change_no_health_and_no_allowance():
+    world = World()
+    world.run(8)
+    world.log.clear()
+    for _ in range(60):
+        world.now += SECOND // 4
+        world.tell(api.TimerFired(0))
+    assert not [o for o in world.log if isinstance(o, api.Log | api.Admit)]
+
+
+def test_reports_of_strangers_and_empty_figures_are_ignored():
+    world = World()
+    before = {n: dict(t) for n, t in world.tables.items()}
+    world.tell(
+        api.EndpointReport("a", "nobody", 5, 5, 0, SECOND, ()), api.EndpointReport("a", "p", 0, 0, 0, 0, ()),
+        api.SliceDemand(999, "cheap", 5, 0, SECOND), api.SliceDemand(0, "unknown", 5, 0, SECOND),
+        api.SliceDemand(0, "cheap", 5, 0, 0), api.Applied(77, 9, 0), api.ProxyLeft(9),
+        api.StoredLine(999, "p", 1.0), api.ProbeResult("p", "Ok", 1, ()), api.PeerMessage(1, b""),
+        api.ProxyDemand(0, "cheap", 1, 0, SECOND))
+    assert {n: set(t) >= set(before[n]) for n, t in world.tables.items()} == dict.fromkeys(before, True)
+
+
+@pytest.mark.parametrize("names", ["", "q"])
+def test_shrinking_to_few_or_no_endpoints_keeps_lines_where_any_is_open(names):
+    world = World()
+    world.tell(api.ListChanged("replace", tuple(entry(n) for n in names)))
+    world.run(3)
+    if names:
+        assert all(set(t) == {"q"} for t in world.tables.values())
+
+
+def test_all_draining_then_one_returns():
+    world = World()
+    world.tell(api.ListChanged("update", tuple(entry(n, "terminating") for n in "pqrs")))
+    world.run(2)
+    world.tell(api.ListChanged("update", (entry("q", started=world.now),)))
+    assert all(set(t) == {"q"} for t in world.tables.values())
+
+
+def test_clock_jumps_and_bursts_after_silence_do_no_harm():
+    world = World()
+    world.run(4)
+    world.now += 45 * SECOND
+    burst = [event for _ in range(20) for event in world.report()]
+    world.tell(*burst)
+    world.run(4)
+    assert all(world.tables.values())
+    assert not [o for o in world.log if isinstance(o, api.Log) and "eject" in o.text]
+
+
+def test_rejoining_proxies_get_the_standing_orders_again():
+    world = World()
+    world.run(4)
+    world.log.clear()
+    world.tell(api.ProxyLeft(1))
+    world.tell(api.ProxyJoined(1, "a", 1.0, False))
+    assert [o for o in world.log if isinstance(o, api.Admit) and o.table is None]
+
+
+def test_orders_wait_until_a_proxy_has_joined():
+    planner = Planner(settings(), 1)
+    events = [api.ListChanged("replace", (entry("p"),)), api.CustodyChanged(0, True)]
+    assert not lines(planner.handle(START, events))
+    assert lines(planner.handle(START + 1, [api.ProxyJoined(0, "a", 1.0, True)]))
+
+
+def test_two_planners_in_one_process_share_nothing():
+    alone, other = World(seed=5), World(seed=9, names="vwxy")
+    twin = World(seed=5)
+    for _ in range(10):
+        other.run(1, failing={"v": 1.0})
+        assert alone.run(1, rate=40) == twin.run(1, rate=40)
+
+
+def test_random_event_streams_never_raise_nor_bare_a_slice():
+    rnd = random.Random(3)
+    world = World()
+    for _ in range(400):
+        world.now += rnd.choice([1, SECOND // 4, 5 * SECOND])
+        name = rnd.choice("pqrs")
+        world.tell(
+            api.ListChanged("update", (entry(name, rnd.choice(["in_service", "terminating", "terminated"]),
+                                             started=rnd.choice([0, world.now])),)),
+            *(world.report(failing={rnd.choice("pqrs"): rnd.random()}) if rnd.random() < 0.5 else []))
+        listed = {e.name for e in world.planner.endpoints.values() if e.state == "in_service"}
+        if listed:
+            assert all(set(t) & listed for t in world.tables.values())
