--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -28,7 +28,7 @@
 MOVE_CAP = 0.07  # share of own slices that a round may move
 # -- exceptions
 HOT_SHARE = 0.1  # of an average endpoint's fair heat: a slice above this gets further lines
-COLD_HEADROOM = 0.9  # times the fair share of a cold endpoint's present capacity
+COLD_HEADROOM = 1.2  # times the fair share of a cold endpoint's present capacity
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
 BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
@@ -36,8 +36,8 @@
 SLOW_FROM = 1.6  # times the median latency from which good answers count as slow
 SPEED_DOWN, SPEED_UP = 0.25, 0.12  # how far learned speed follows the observed each report period
 SPEED_LEAST, SPEED_MOST = 0.1, 2.0  # bounds of the learned speed
-OUT_FIRST, OUT_MOST = 5 * SECOND, 20 * SECOND  # ns an ejected endpoint stays out, doubling
-RETURN_SHARE, RETURN_TIME = 0.15, 10 * SECOND  # slow start after an ejection: first share, ns to full
+OUT_FIRST, OUT_MOST = 3 * SECOND, 8 * SECOND  # ns an ejected endpoint stays out, doubling
+RETURN_SHARE, RETURN_TIME = 0.15, 6 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
 SHED_LATENCY, CALM_LATENCY = 0.5, 0.35  # of the aim: allow less above, more below
 CUT_TO, ALLOW_UP = 0.75, 1.15  # of the answers seen, so that the queue drains; growth a report period
@@ -85,7 +85,7 @@
 
     @property
     def heat(self) -> float:
-        return sum(self.rates)
+        return sum(self.rates) + 0.01  # an unheard slice still counts a little
 
     @property
     def settled(self) -> bool:
@@ -159,7 +159,8 @@
         self.greet = True  # standing orders must be sent (again)
         self.tick_at = self.round_at = self.judge_at = self.report_at = 0
         self.median = 0.0
-        self.share: dict[str, float] = {}  # of what is offered, by endpoint
+        self.share: Loads = {}  # let in of what is offered, by endpoint
+        self.admitted = 1.0  # and of all: refused clients' repeats must not count for a cold endpoint's part
         self.changed = True
         self.out: list[api.Action] = []
 
@@ -297,19 +298,16 @@
         for piece in self.slices.values():
             for home in piece.homes:
                 if home in load:
-                    load[home] += self.unit(piece) / len(piece.homes)
+                    load[home] += piece.heat / len(piece.homes)
         return load
 
-    def unit(self, piece: Slice) -> float:
-        return piece.heat + 0.01  # an unheard slice still counts a little
-
     # ---- exceptions: evacuation, health, levels ----------------------------------------------------
 
     def evacuate(self) -> None:
         """Exception: what the list or the reports rule out moves at once, past gate and cap."""
         cap = self.usable()
         load = self.loads(cap)
-        mean = (sum(load.values()) + 1e-9) / (sum(cap.values()) + 1e-9)
+        mean = self.admitted * (sum(load.values()) + 1e-9) / (sum(cap.values()) + 1e-9)
         for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
             bad = [h for h in piece.homes if h not in cap]
             piece.homes = [h for h in piece.homes if h not in bad]
@@ -317,14 +315,14 @@
                 piece.urgency = min(piece.urgency, RULE if any(map(self.barred, bad)) else FAILURE)
             # Cold endpoints fall over when pushed: what they hold above their share leaves.
             for home in list(piece.homes):
-                heat = self.unit(piece) / len(piece.homes)
+                heat = piece.heat / len(piece.homes)
                 over = self.ramp(self.endpoints[home]) < 1 and load[home] > COLD_HEADROOM * mean * cap[home]
                 if over and self.roomiest(cap, load, heat, mean, piece.homes):
                     piece.homes.remove(home)
                     load[home] -= heat
                     piece.urgency = min(piece.urgency, RULE)
             if not piece.homes and cap:
-                heat = self.unit(piece)
+                heat = piece.heat
                 best = self.roomiest(cap, load, heat, mean, []) or max(cap, key=lambda n: (cap[n], n))
                 piece.homes = [best]
                 load[best] += heat
@@ -432,6 +430,8 @@
             elif quiet or ep.latency < CALM_LATENCY * self.aim:
                 ep.allow = ep.allow * ALLOW_UP if ep.allow < 2 * offered[ep.name] else math.inf
         self.share = {n: min(1.0, self.endpoints[n].allow / max(1e-6, heat)) for n, heat in offered.items()}
+        let_in = sum(self.share[n] * heat for n, heat in offered.items())
+        self.admitted = let_in / (sum(offered.values()) or 1.0) if let_in else 1.0
 
     def levels(self, piece: Slice) -> tuple[float, ...]:
         """Admission level of each class for a slice: what its homes allow goes to the most worth first."""
@@ -457,13 +457,13 @@
         mean = (sum(load.values()) + 1e-9) / (sum(cap.values()) + 1e-9)
         fair = mean * max(cap.values(), default=1.0)
         for piece in self.slices.values():
-            need = min(3, max(1, math.ceil(self.unit(piece) / (HOT_SHARE * fair))))
+            need = min(3, max(1, math.ceil(piece.heat / (HOT_SHARE * fair))))
             if need > len(piece.homes):
-                best = self.roomiest(cap, load, self.unit(piece) / need, mean, piece.homes)
+                best = self.roomiest(cap, load, piece.heat / need, self.admitted * mean, piece.homes)
                 if best:
                     piece.homes.append(best)
-                    load[best] += self.unit(piece) / need
-            elif len(piece.homes) > 1 and self.unit(piece) * 1.5 < HOT_SHARE * fair * (len(piece.homes) - 1):
+                    load[best] += piece.heat / need
+            elif len(piece.homes) > 1 and piece.heat * 1.5 < HOT_SHARE * fair * (len(piece.homes) - 1):
                 piece.homes.pop()
 
     # ---- publishing ---------------------------------------------------------------------------------
@@ -524,7 +524,7 @@
                 if home in place:
                     self.units.append((piece, k))
                     self.at.append(place[home])
-                    self.heat.append(planner.unit(piece) / len(piece.homes))
+                    self.heat.append(piece.heat / len(piece.homes))
         self.start = list(self.at)
         self.warmest = [[place[n] for n, _ in sorted(p.warmth.items(), key=lambda i: -i[1]) if n in place]
                         for p, _ in self.units]
@@ -602,7 +602,8 @@
     def allowed(self, unit: int, to: int) -> bool:
         piece, _ = self.units[unit]
         twice = self.names[to] in piece.homes and to != self.start[unit]
-        most = COLD_HEADROOM * self.total / self.weight * self.cap[to] if self.cold[to] else math.inf
+        mean = self.planner.admitted * self.total / self.weight
+        most = COLD_HEADROOM * mean * self.cap[to] if self.cold[to] else math.inf
         return not twice and self.load[to] + self.heat[unit] <= most
 
     def run(self) -> list[tuple[Slice, list[str]]]:
