--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -40,13 +40,16 @@
 RETURN_SHARE, RETURN_TIME = 0.15, 6 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
 SHED_LATENCY, CALM_LATENCY = 0.5, 0.35  # of the aim: allow less above, more below
-CUT_TO, ALLOW_UP = 0.75, 1.15  # of the answers seen, so that the queue drains; growth a report period
+CUT_DEPTH, CUT_LEAST = 0.4, 0.5  # cut by this times latency per aim, to no less than this part
+KNOWN = 0.85  # of the best answered lately: grow fast below, feel the way above
+ALLOW_UP, ALLOW_PROBE = 1.15, 1.04  # growth a report period
+BEST_KEPT, BEST_LATE = 0.99, 0.95  # fading of the best, a report period
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 LEVEL_GRAIN, LEVEL_LEAST = 0.125, 0.05  # levels are published in these steps; no class is shut out
 RETRY = 1  # once, at another endpoint, on proof that the first try never ran
 # -- channel
 URGENT_FILL, FILL = 0.47, 0.25  # of the channel's limit: for failures and rules, for balance
-RULE_MESSAGES, FAIL_MESSAGES, MESSAGES = 1.0, 0.75, 0.5  # of the messages allowed, by urgency
+RULE_MESSAGES, FAIL_MESSAGES, MESSAGES = 1.0, 0.8, 0.7  # of the messages allowed, by urgency
 RULE, FAILURE, BALANCE = 0, 1, 2  # urgencies
 
 
@@ -68,6 +71,7 @@
         self.out_until = self.back_since = 0
         self.out_for = OUT_FIRST
         self.allow, self.cut_at = math.inf, 0  # requests a second it may be sent; when last cut
+        self.best = 0.0  # answers a second lately seen at best
 
 
 class Slice:
@@ -80,7 +84,7 @@
         self.rates = [0.0] * classes  # requests a second by class, averaged
         self.heard = [0] * classes
         self.warmth: dict[str, float] = {}
-        self.levels: tuple[float, ...] = ()  # as published; empty: all in
+        self.levels = (1.0,) * classes  # as published
         self.urgency = BALANCE
 
     @property
@@ -110,6 +114,8 @@
         while self.sent and self.sent[0] <= now - s.message_window:
             self.sent.popleft()
         allowed = (RULE_MESSAGES, FAIL_MESSAGES, MESSAGES)[urgency] * s.messages_per_window
+        if s.messages_per_window and urgency != RULE and now - self.last < s.message_window / allowed:
+            return 0  # evenly spaced: a burst would use up what later failures and levels need
         if not self.proxies or (s.messages_per_window and len(self.sent) + 1 > allowed):
             return 0
         waiting = sum(cost for _, cost, _ in self.flights)
@@ -194,12 +200,10 @@
             self.listed = True
             self.ask_fails, self.ask_at = 0, None
         if event.kind == "replace":
-            present = {entry.endpoint: True for entry in event.entries}
-            for ep in self.endpoints.values():
-                if ep.name not in present and ep.state != "unlisted":
-                    ep.state = "terminated"
+            for ep in self.endpoints.values():  # what the full list does not name is gone
+                ep.state = "terminated" if ep.state != "unlisted" else ep.state
         for entry in event.entries:
-            ep = self.endpoint(entry.endpoint)
+            ep = self.endpoints.setdefault(entry.endpoint, Endpoint(entry.endpoint))
             if entry.started != ep.started:
                 ep.forget()
             ep.zone, ep.started, ep.state = entry.zone, entry.started, entry.state
@@ -226,7 +230,7 @@
         piece = self.slices.get(event.slice)
         if piece is None or event.weight <= 0:
             return
-        self.endpoint(event.endpoint)
+        self.endpoints.setdefault(event.endpoint, Endpoint(event.endpoint))
         piece.lines[event.endpoint] = event.weight
         piece.homes.append(event.endpoint)
         piece.warmth[event.endpoint] = 1.0
@@ -256,9 +260,6 @@
         ep.fails = ep.fails * keep + event.failures
         ep.heard = self.report_at = self.now
 
-    def endpoint(self, name: str) -> Endpoint:
-        return self.endpoints.setdefault(name, Endpoint(name))
-
     # ---- what an endpoint may carry -------------------------------------------------------------
 
     def barred(self, name: str) -> bool:
@@ -266,9 +267,6 @@
         state = self.endpoints[name].state
         return state in ("terminating", "terminated") or (state == "unlisted" and self.listed)
 
-    def ejected(self, ep: Endpoint) -> bool:
-        return ep.out_until > self.now
-
     def ramp(self, ep: Endpoint) -> float:
         """Share of its warm capacity that a newly started endpoint has at least."""
         s, age = self.settings, self.now - ep.started
@@ -289,7 +287,7 @@
         """Endpoints that may take slices, with their present capacity. Never empty without need:
         doubtful endpoints are better than none."""
         fit = [ep for ep in self.endpoints.values() if not self.barred(ep.name)]
-        well = [ep for ep in fit if not self.ejected(ep)]
+        well = [ep for ep in fit if ep.out_until <= self.now]
         return {ep.name: self.capacity(ep) for ep in (well or fit)}
 
     def loads(self, names: Iterable[str]) -> dict[str, float]:
@@ -309,10 +307,9 @@
         load = self.loads(cap)
         mean = self.admitted * (sum(load.values()) + 1e-9) / (sum(cap.values()) + 1e-9)
         for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
-            bad = [h for h in piece.homes if h not in cap]
-            piece.homes = [h for h in piece.homes if h not in bad]
-            if bad:
-                piece.urgency = min(piece.urgency, RULE if any(map(self.barred, bad)) else FAILURE)
+            if any(h not in cap for h in piece.homes):
+                piece.homes = [h for h in piece.homes if h in cap]
+                piece.urgency = FAILURE  # what the list bars is raised to a rule when it is published
             # Cold endpoints fall over when pushed: what they hold above their share leaves.
             for home in list(piece.homes):
                 heat = piece.heat / len(piece.homes)
@@ -320,7 +317,7 @@
                 if over and self.roomiest(cap, load, heat, mean, piece.homes):
                     piece.homes.remove(home)
                     load[home] -= heat
-                    piece.urgency = min(piece.urgency, RULE)
+                    piece.urgency = RULE
             if not piece.homes and cap:
                 heat = piece.heat
                 best = self.roomiest(cap, load, heat, mean, []) or max(cap, key=lambda n: (cap[n], n))
@@ -329,12 +326,9 @@
 
     def roomiest(self, cap: Loads, load: Loads, heat: float, mean: float, taken: list[str]) -> str | None:
         """Where heat adds least per capacity; a cold endpoint only while it stays within its share."""
-        best, least = None, math.inf
-        for name, room in cap.items():
-            full = self.tender(name) and load[name] + heat > COLD_HEADROOM * mean * room
-            if name not in taken and not full and (load[name] + heat) / room < least:
-                best, least = name, (load[name] + heat) / room
-        return best
+        levels = {n: (load[n] + heat) / room for n, room in cap.items() if n not in taken}
+        fit = [n for n, level in levels.items() if level <= COLD_HEADROOM * mean or not self.tender(n)]
+        return min(fit, key=levels.__getitem__, default=None)
 
     def tick(self) -> None:
         """The slow clockwork: list, health, levels, rounds."""
@@ -376,24 +370,23 @@
         """Take out endpoints that fail or crawl while the fleet does not. Meets hangs, error storms, cut
         links and grave slowdowns alike; a fleet-wide overload raises the bar for all and ejects nobody."""
         period = self.settings.report_period
-        fresh = [e for e in self.endpoints.values()
-                 if e.state == "in_service" and self.now - e.heard < 3 * period and e.tries >= 1]
-        timed = sorted(e.latency for e in fresh if e.latency > 0)
-        self.median = timed[len(timed) // 2] if timed else self.median
+        listed = [e for e in self.endpoints.values() if e.state == "in_service"]
+        fresh = [e for e in listed if self.now - e.heard < 3 * period and e.tries >= 1]
+        timed = sorted(e.latency for e in fresh if e.latency > 0) or [self.median]
+        self.median = timed[len(timed) // 2]
         tries, fails = sum(e.tries for e in fresh), sum(e.fails for e in fresh)
-        listed = sum(e.weight for e in self.endpoints.values() if e.state == "in_service")
-        out = sum(e.weight for e in self.endpoints.values() if e.state == "in_service" and self.ejected(e))
+        weight, out = sum(e.weight for e in listed), sum(e.weight for e in listed if e.out_until > self.now)
         self.learn_speed(fresh)
         for ep in fresh:
             if ep.back_since and self.now - ep.back_since > RETURN_TIME:
                 ep.back_since, ep.out_for = 0, OUT_FIRST
-            if self.ejected(ep) or ep.tries < MIN_TRIES:
+            if ep.out_until > self.now or ep.tries < MIN_TRIES:
                 continue
             rest, share = (fails - ep.fails) / max(1.0, tries - ep.tries), ep.fails / ep.tries
             # Failing with slow good answers is overload: to eject would only push the load onto the next.
             ill = share > BAD_SHARE + rest and ep.latency < SLOW_FROM * self.median
             dead = share > DEAD_SHARE and rest < 0.5 and ep.tries > 2 * MIN_TRIES
-            if (ill or dead) and out + ep.weight <= EJECT_MOST * listed:
+            if (ill or dead) and out + ep.weight <= EJECT_MOST * weight:
                 out += ep.weight
                 self.out.append(api.Log(f"eject {ep.name}: {share:.2f} of {ep.tries:.0f} tries fail, fleet "
                                         f"{rest:.2f}; {ep.latency // 1000} us, {self.median // 1000} us"))
@@ -419,19 +412,23 @@
         and clients' repeats change what a level lets through."""
         span = self.settings.report_period / SECOND
         seen = span / (1 - math.exp(-span / EVIDENCE_TAU))  # s of answers in the decayed sums
+        if self.now - self.report_at > 2 * self.settings.report_period:
+            return  # reports are late for all: hold
         offered = self.loads(self.endpoints)
         for ep in self.endpoints.values():
             quiet = self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES
-            if not quiet and ep.latency > SHED_LATENCY * self.aim:
-                if self.now - ep.cut_at > CUT_HOLD:
-                    ep.allow, ep.cut_at = max(1.0, CUT_TO * (ep.tries - ep.fails) / seen), self.now
-            elif self.now - self.report_at > 2 * self.settings.report_period:
-                continue  # reports are late for all: hold
-            elif quiet or ep.latency < CALM_LATENCY * self.aim:
-                ep.allow = ep.allow * ALLOW_UP if ep.allow < 2 * offered[ep.name] else math.inf
-        self.share = {n: min(1.0, self.endpoints[n].allow / max(1e-6, heat)) for n, heat in offered.items()}
-        let_in = sum(self.share[n] * heat for n, heat in offered.items())
-        self.admitted = let_in / (sum(offered.values()) or 1.0) if let_in else 1.0
+            late, good = ep.latency / self.aim, (ep.tries - ep.fails) / seen
+            ep.best = max(good, ep.best * (BEST_LATE if late > SHED_LATENCY else BEST_KEPT))
+            if late > SHED_LATENCY and not quiet and self.now - ep.cut_at > CUT_HOLD:
+                cut = max(CUT_LEAST, 1 - CUT_DEPTH * late)
+                ep.allow, ep.cut_at = max(1.0, cut * max(good, KNOWN * ep.best)), self.now
+            elif quiet or late < CALM_LATENCY:
+                sure = ep.allow < KNOWN * ep.best or late < CALM_LATENCY / 2
+                grown = ep.allow * (ALLOW_UP if sure else ALLOW_PROBE)
+                ep.allow = grown if grown < 2 * offered[ep.name] else math.inf
+        self.share = {n: min(1.0, self.endpoints[n].allow / (heat + 1e-6)) for n, heat in offered.items()}
+        kept = sum(self.share[n] * heat for n, heat in offered.items())
+        self.admitted = (kept + 1e-6) / (sum(offered.values()) + 1e-6)
 
     def levels(self, piece: Slice) -> tuple[float, ...]:
         """Admission level of each class for a slice: what its homes allow goes to the most worth first."""
@@ -493,11 +490,11 @@
         todo, cap = [], self.usable()
         for piece in self.slices.values():
             orders, levels = self.orders(piece), self.levels(piece)
-            if levels != (piece.levels or full):
+            if levels != piece.levels:
                 orders += self.admits(piece.number, levels)
             if orders:
                 must = any(map(self.barred, piece.lines)) or not any(n in cap for n in piece.lines)
-                urgency = RULE if must else piece.urgency
+                urgency = RULE if must else FAILURE if min(levels) < min(piece.levels) else piece.urgency
                 todo.append((urgency, -piece.heat, piece.number, piece, orders, levels))
         for urgency, _, _, piece, orders, levels in sorted(todo, key=lambda t: t[:3]):
             if len(lines) + len(orders) <= self.channel.room(self.now, urgency):
