--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -29,13 +29,14 @@
 # -- exceptions
 HOT_SHARE = 0.1  # of an average endpoint's fair heat: a slice above this gets further lines
 COLD_HEADROOM = 1.2  # times the fair share of a cold endpoint's present capacity
+CROWDED = 0.85  # part of the demand let in, below which cold endpoints share no slice with others
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
 BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
 DEAD_SHARE = 0.97  # failing share at which it is dead to its proxies, whatever the few good answers say
 SLOW_FROM = 1.6  # times the median latency from which good answers count as slow
 SPEED_DOWN, SPEED_UP = 0.25, 0.12  # how far learned speed follows the observed each report period
-SPEED_LEAST, SPEED_MOST = 0.1, 2.0  # bounds of the learned speed
+SPEEDS = 0.1, 2.0  # its bounds
 OUT_FIRST, OUT_MOST = 3 * SECOND, 8 * SECOND  # ns an ejected endpoint stays out, doubling
 RETURN_SHARE, RETURN_TIME = 0.15, 6 * SECOND  # slow start after an ejection: first share, ns to full
 EJECT_MOST = 0.4  # share of listed weight that may be out for health at a time
@@ -91,9 +92,6 @@
     def heat(self) -> float:
         return sum(self.rates) + 0.01  # an unheard slice still counts a little
 
-    @property
-    def settled(self) -> bool:
-        return self.lines == dict.fromkeys(self.homes, 1.0)
 
 
 class Channel:
@@ -164,7 +162,7 @@
         self.ask_fails = 0
         self.greet = True  # standing orders must be sent (again)
         self.tick_at = self.round_at = self.judge_at = self.report_at = 0
-        self.median = 0.0
+        self.median, self.crowded = 0.0, False
         self.share: Loads = {}  # let in of what is offered, by endpoint
         self.admitted = 1.0  # and of all: refused clients' repeats must not count for a cold endpoint's part
         self.changed = True
@@ -204,6 +202,9 @@
                 ep.state = "terminated" if ep.state != "unlisted" else ep.state
         for entry in event.entries:
             ep = self.endpoints.setdefault(entry.endpoint, Endpoint(entry.endpoint))
+            like = [e.speed for e in self.endpoints.values() if e.weight == entry.weight and e.tries]
+            if like and ep.state == "unlisted" and not ep.heard:
+                ep.speed = sum(like) / len(like)  # a newcomer is taken to be like others of its weight
             if entry.started != ep.started:
                 ep.forget()
             ep.zone, ep.started, ep.state = entry.zone, entry.started, entry.state
@@ -228,13 +229,12 @@
 
     def on_StoredLine(self, event: api.StoredLine) -> None:
         piece = self.slices.get(event.slice)
-        if piece is None or event.weight <= 0:
-            return
-        self.endpoints.setdefault(event.endpoint, Endpoint(event.endpoint))
-        piece.lines[event.endpoint] = event.weight
-        piece.homes.append(event.endpoint)
-        piece.warmth[event.endpoint] = 1.0
-        self.changed = True
+        if piece is not None and event.weight > 0:
+            self.endpoints.setdefault(event.endpoint, Endpoint(event.endpoint))
+            piece.lines[event.endpoint] = event.weight
+            piece.homes.append(event.endpoint)
+            piece.warmth[event.endpoint] = 1.0
+            self.changed = True
 
     def on_SliceDemand(self, event: api.SliceDemand) -> None:
         piece, k = self.slices.get(event.slice), self.class_index.get(event.request_class)
@@ -310,11 +310,12 @@
             if any(h not in cap for h in piece.homes):
                 piece.homes = [h for h in piece.homes if h in cap]
                 piece.urgency = FAILURE  # what the list bars is raised to a rule when it is published
-            # Cold endpoints fall over when pushed: what they hold above their share leaves.
-            for home in list(piece.homes):
-                heat = piece.heat / len(piece.homes)
-                over = self.ramp(self.endpoints[home]) < 1 and load[home] > COLD_HEADROOM * mean * cap[home]
-                if over and self.roomiest(cap, load, heat, mean, piece.homes):
+            # Cold endpoints fall over when pushed: what they hold above their share leaves, and while
+            # others shed they share no slice, or they would get all that its other homes turn away.
+            for home in [h for h in piece.homes if self.ramp(self.endpoints[h]) < 1]:
+                heat, shared = piece.heat / len(piece.homes), len(piece.homes) > 1
+                over = load[home] > COLD_HEADROOM * mean * cap[home]
+                if (shared and self.crowded) or (over and self.roomiest(cap, load, heat, mean, piece.homes)):
                     piece.homes.remove(home)
                     load[home] -= heat
                     piece.urgency = RULE
@@ -342,7 +343,7 @@
             self.shed()
             self.evacuate()
         if self.now >= self.round_at and self.channel.landed(self.now) and all(
-                piece.settled for piece in self.slices.values()):
+                p.lines == dict.fromkeys(p.homes, 1.0) for p in self.slices.values()):
             self.round_at = self.now + PERIOD
             self.split_hot()
             search = Search(self, self.usable())
@@ -404,7 +405,7 @@
         for ep in warm:
             target = times[len(times) // 2] / ep.latency
             gain = SPEED_DOWN if target < ep.speed else SPEED_UP
-            ep.speed *= (min(SPEED_MOST, max(SPEED_LEAST, target)) / ep.speed) ** gain
+            ep.speed *= (min(SPEEDS[1], max(SPEEDS[0], target)) / ep.speed) ** gain
 
     def shed(self) -> None:
         """Exception: an endpoint that answers late is allowed a little less than it was seen to answer, then
@@ -429,6 +430,7 @@
         self.share = {n: min(1.0, self.endpoints[n].allow / (heat + 1e-6)) for n, heat in offered.items()}
         kept = sum(self.share[n] * heat for n, heat in offered.items())
         self.admitted = (kept + 1e-6) / (sum(offered.values()) + 1e-6)
+        self.crowded = self.admitted < CROWDED
 
     def levels(self, piece: Slice) -> tuple[float, ...]:
         """Admission level of each class for a slice: what its homes allow goes to the most worth first."""
@@ -453,10 +455,11 @@
         load = self.loads(cap)
         mean = (sum(load.values()) + 1e-9) / (sum(cap.values()) + 1e-9)
         fair = mean * max(cap.values(), default=1.0)
+        fit = {n: room for n, room in cap.items() if not (self.crowded and self.tender(n))}
         for piece in self.slices.values():
             need = min(3, max(1, math.ceil(piece.heat / (HOT_SHARE * fair))))
-            if need > len(piece.homes):
-                best = self.roomiest(cap, load, piece.heat / need, self.admitted * mean, piece.homes)
+            if need > len(piece.homes) and not (self.crowded and any(map(self.tender, piece.homes))):
+                best = self.roomiest(fit, load, piece.heat / need, self.admitted * mean, piece.homes)
                 if best:
                     piece.homes.append(best)
                     load[best] += piece.heat / need
@@ -483,10 +486,9 @@
         """Send what differs from the published state: rules, then failures, then balance, hottest first,
         as one message a proxy and as much as the channel has room for."""
         lines: list[api.Action] = []
-        full = (1.0,) * len(self.settings.classes)
         if self.greet and self.channel.room(self.now, FAILURE) > 2:
             self.greet = False
-            lines += self.admits(None, full)
+            lines += self.admits(None, (1.0,) * len(self.settings.classes))
         todo, cap = [], self.usable()
         for piece in self.slices.values():
             orders, levels = self.orders(piece), self.levels(piece)
@@ -525,8 +527,7 @@
         self.start = list(self.at)
         self.warmest = [[place[n] for n, _ in sorted(p.warmth.items(), key=lambda i: -i[1]) if n in place]
                         for p, _ in self.units]
-        n = len(self.names)
-        self.load, self.count = [0.0] * n, [0] * n
+        self.load, self.count = [0.0] * len(place), [0] * len(place)
         for unit, at in enumerate(self.at):
             self.load[at] += self.heat[unit]
             self.count[at] += 1
@@ -598,15 +599,15 @@
 
     def allowed(self, unit: int, to: int) -> bool:
         piece, _ = self.units[unit]
-        twice = self.names[to] in piece.homes and to != self.start[unit]
-        mean = self.planner.admitted * self.total / self.weight
-        most = COLD_HEADROOM * mean * self.cap[to] if self.cold[to] else math.inf
-        return not twice and self.load[to] + self.heat[unit] <= most
+        if self.names[to] in piece.homes and to != self.start[unit]:
+            return False  # a slice has each home once
+        most = COLD_HEADROOM * self.planner.admitted * self.total / self.weight * self.cap[to]
+        spill = self.planner.crowded and len(piece.homes) > 1
+        return not self.cold[to] or (not spill and self.load[to] + self.heat[unit] <= most)
 
     def run(self) -> list[tuple[Slice, list[str]]]:
         """Keep a step only if it is cheaper by the least gain; return the slices that end elsewhere."""
-        most = max(1, int(MOVE_CAP * len(self.planner.slices)))
-        best = self.cost()
+        most, best = max(1, int(MOVE_CAP * len(self.planner.slices))), self.cost()
         steps = min(MAX_STEPS, int(len(self.units) * len(self.names) * STEP_FACTOR))
         for _ in range(steps):
             moves = self.pick()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -317,3 +317,97 @@
         listed = {e.name for e in world.planner.endpoints.values() if e.state == "in_service"}
         if listed:
             assert all(set(t) & listed for t in world.tables.values())
+
+
+def test_overload_never_cascades_through_ejections():
+    """Incident i7c3226: late answers with failures on one server after the other are not sickness."""
+    world = World(names="pqrst", slices=20)
+    world.run(6)
+    for k in range(5):
+        late = {name: 900 for name in "pqrst"[: k + 1]}
+        world.run(2, latency=late, failing=dict.fromkeys(late, 0.6))
+    assert not [o for o in world.log if isinstance(o, api.Log)]
+    assert all(world.count(name) for name in "pqrst")
+
+
+def test_no_withdrawal_is_left_behind_at_a_rejoining_proxy():
+    """Incident i7c3226: a proxy that missed the order to let an endpoint in again had no server left."""
+    world = World()
+    world.run(6)
+    world.run(4, failing={"p": 1.0})
+    world.run(20)
+    assert not [o for o in world.log if isinstance(o, api.Withdraw)]
+
+
+def test_barred_line_stays_urgent_until_it_is_gone():
+    """ocitanja-vode overload day: a drained line was left when its first order did not fit the channel."""
+    world = World(slices=60, channel_limit=120.0)
+    world.acks = False
+    world.tell(api.ListChanged("update", (entry("p", "terminating"),)))
+    assert world.count("p") > 0  # the channel is too small for all at once
+    for _ in range(8):
+        world.now += SECOND // 4
+        marks = [o.number for o in world.log if isinstance(o, api.Mark)]
+        world.tell(*(api.Applied(marks[-1], proxy, 0) for proxy in world.proxies))
+    assert world.count("p") == 0
+
+
+def test_one_silent_proxy_does_not_stop_the_channel():
+    """ocitanja-vode deploy+zone_cut: what cut-off proxies never acknowledge must not hold up drains."""
+    world = World(slices=60, proxies=4, channel_limit=1500.0)
+    world.proxies = [0, 1, 2]  # the fourth never acknowledges
+    for k in range(12):
+        world.now += SECOND // 4
+        name, state = "pqrs"[k % 4], "terminating" if k % 2 else "in_service"
+        world.tell(api.ListChanged("update", (entry(name, state),)))
+    gone = [n for n in "pqrs" if world.planner.endpoints[n].state == "terminating"]
+    world.run(2)
+    assert gone and not any(world.count(name) for name in gone)
+
+
+def test_balance_does_not_use_up_the_messages_that_lower_levels():
+    """Incident i8ae611: a burst of balance messages blocked the levels for eight seconds."""
+    world = World(slices=60, messages_per_window=12)
+    for _ in range(20):
+        world.run(0.5, rate=40)
+        world.tell(api.SliceDemand(world.planner.random.randrange(60), "cheap", 500, 0, SECOND))
+    before = world.now
+    world.run(6, latency=dict.fromkeys("pqrs", 900))
+    assert world.now - before < 7 * SECOND and min(world.levels.values()) < 1.0
+
+
+def test_cold_endpoint_shares_no_slice_while_others_shed():
+    """Found days h657948, hfc796c, h116984: what full servers turn away went to their cold co-homes."""
+    world = World(slices=16)
+    for _ in range(14):
+        world.run(1, latency=dict.fromkeys("pqrs", 900), rate=60)
+        world.tell(api.SliceDemand(3, "cheap", 600, 0, SECOND))
+    assert min(world.levels.values()) < 1.0
+    world.names.append("z")
+    world.tell(api.ListChanged("update", (entry("z", started=world.now),)))
+    world.run(3, latency=dict.fromkeys("pqrs", 900), rate=60)
+    assert all(len(table) == 1 for table in world.tables.values() if "z" in table)
+
+
+def test_newcomer_is_taken_to_be_as_fast_as_others_of_its_weight():
+    """Found day h116984: a cold server of a slow kind was filled as if it had the median's speed."""
+    shares = {}
+    for ms in (200, 800):
+        world = World(names="pqrst", slices=40)
+        world.tell(api.ListChanged("update", tuple(entry(n, weight=2.0) for n in "st")))
+        world.run(25, latency={"s": ms, "t": ms})
+        world.names.append("z")
+        world.tell(api.ListChanged("update", (entry("z", weight=2.0),)))
+        world.run(50, latency={"s": ms, "t": ms}, tries=0)
+        shares[ms] = sum(1 / len(t) for t in world.tables.values() if "z" in t)
+    assert shares[800] < shares[200]
+
+
+def test_levels_come_back_when_a_server_falls_quiet():
+    """varazdin-izbori overload day: levels stayed low because nothing was sent that could show calm."""
+    world = World()
+    world.run(6)
+    world.run(6, latency=dict.fromkeys("pqrs", 900))
+    assert min(world.levels.values()) < 1.0
+    world.run(60, tries=0)
+    assert set(world.levels.values()) == {1.0}
