--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -23,11 +23,13 @@
 MAX_STEPS = 6000  # steps a round: bounds the CPU of very large fleets
 MIN_GAIN = 0.002  # cost a kept step must save
 HEAT_TAU = 9.0  # s over which heat is averaged
+SURGE, SURGE_SHARE = 3.0, 0.7  # times the average at which demand has jumped; how much of it counts at once
 WARM_TAU = 15.0  # s in which an endpoint warms to a slice, or forgets it
 COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
 MOVE_CAP = 0.07  # share of own slices that a round may move
 # -- exceptions
 HOT_SHARE = 0.1  # of an average endpoint's fair heat: a slice above this gets further lines
+COLD_PACE = 1.4  # times the fleet's best pace: the most that a cold endpoint's slices let in
 COLD_HEADROOM = 1.2  # times the fair share of a cold endpoint's present capacity
 CROWDED = 0.85  # part of the demand let in, below which cold endpoints share no slice with others
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
@@ -130,14 +132,7 @@
     def applied(self, mark: int) -> None:
         for flight in self.flights:
             flight[2] += flight[0] == mark
-        self.settle()
-
-    def left(self, proxy: int) -> None:
-        self.proxies.pop(proxy, None)
-        self.settle()
-
-    def settle(self) -> None:
-        """Forget what half of the joined proxies have applied, and all sent before it."""
+        # Forget what half of the joined proxies have applied, and all sent before it.
         out = [k for k, flight in enumerate(self.flights) if 2 * flight[2] >= len(self.proxies)]
         for _ in range(out[-1] + 1 if out else 0):
             self.flights.popleft()
@@ -164,6 +159,7 @@
         self.tick_at = self.round_at = self.judge_at = self.report_at = 0
         self.median, self.crowded = 0.0, False
         self.share: Loads = {}  # let in of what is offered, by endpoint
+        self.pace = 0.0  # answers a second for each unit of capacity, lately at best
         self.admitted = 1.0  # and of all: refused clients' repeats must not count for a cold endpoint's part
         self.changed = True
         self.out: list[api.Action] = []
@@ -216,7 +212,7 @@
         self.greet = True
 
     def on_ProxyLeft(self, event: api.ProxyLeft) -> None:
-        self.channel.left(event.proxy)
+        self.channel.proxies.pop(event.proxy, None)
 
     def on_Applied(self, event: api.Applied) -> None:
         self.channel.applied(event.mark)
@@ -241,8 +237,9 @@
         if piece is None or k is None or event.period <= 0:
             return
         span = event.period / SECOND
-        share = 1 - math.exp(-span / HEAT_TAU) if piece.heard[k] else 1.0
-        piece.rates[k] += share * (event.requests / span - piece.rates[k])
+        rate, share = event.requests / span, 1 - math.exp(-span / HEAT_TAU)
+        surge = not piece.heard[k] or rate > SURGE * (piece.rates[k] + 1)
+        piece.rates[k] += (SURGE_SHARE if surge else share) * (rate - piece.rates[k])
         piece.heard[k] = self.report_at = self.now
 
     def on_EndpointReport(self, event: api.EndpointReport) -> None:
@@ -321,15 +318,15 @@
                     piece.urgency = RULE
             if not piece.homes and cap:
                 heat = piece.heat
-                best = self.roomiest(cap, load, heat, mean, []) or max(cap, key=lambda n: (cap[n], n))
+                best = self.roomiest(cap, load, heat, mean, None)
                 piece.homes = [best]
                 load[best] += heat
 
-    def roomiest(self, cap: Loads, load: Loads, heat: float, mean: float, taken: list[str]) -> str | None:
-        """Where heat adds least per capacity; a cold endpoint only while it stays within its share."""
-        levels = {n: (load[n] + heat) / room for n, room in cap.items() if n not in taken}
+    def roomiest(self, cap: Loads, load: Loads, heat: float, mean: float, taken: list | None) -> str | None:
+        """Where heat adds least per capacity; a cold endpoint only within its share, but for `taken` None."""
+        levels = {n: (load[n] + heat) / room for n, room in cap.items() if n not in (taken or ())}
         fit = [n for n, level in levels.items() if level <= COLD_HEADROOM * mean or not self.tender(n)]
-        return min(fit, key=levels.__getitem__, default=None)
+        return min(fit or (levels if taken is None else []), key=levels.__getitem__, default=None)
 
     def tick(self) -> None:
         """The slow clockwork: list, health, levels, rounds."""
@@ -397,9 +394,8 @@
                 ep.out_for = min(2 * wait, OUT_MOST)
 
     def learn_speed(self, fresh: list[Endpoint]) -> None:
-        """Exception (doubt: listed weight does not tell speed): capacity follows how fast an endpoint answers
-        against the fleet's median. Its own queue slows it too, so what is overloaded loses weight until it
-        is not. Harm: an endpoint whose keys are costly looks slow."""
+        """Exception (doubt: listed weight does not tell speed): capacity follows latency against the fleet's
+        median. What is overloaded loses weight too. Harm: an endpoint whose keys are costly looks slow."""
         warm = [ep for ep in fresh if self.ramp(ep) >= 1 and ep.tries >= MIN_TRIES and ep.latency]
         times = sorted(ep.latency for ep in warm)
         for ep in warm:
@@ -408,9 +404,8 @@
             ep.speed *= (min(SPEEDS[1], max(SPEEDS[0], target)) / ep.speed) ** gain
 
     def shed(self) -> None:
-        """Exception: an endpoint that answers late is allowed a little less than it was seen to answer, then
-        slowly more. In requests, not in steps of a level: late reports would drive steps far past the mark,
-        and clients' repeats change what a level lets through."""
+        """Exception: an endpoint that answers late is allowed less than it was seen to answer, then slowly
+        more. In requests, not in steps of a level: late reports would drive steps far past the mark."""
         span = self.settings.report_period / SECOND
         seen = span / (1 - math.exp(-span / EVIDENCE_TAU))  # s of answers in the decayed sums
         if self.now - self.report_at > 2 * self.settings.report_period:
@@ -427,6 +422,10 @@
                 sure = ep.allow < KNOWN * ep.best or late < CALM_LATENCY / 2
                 grown = ep.allow * (ALLOW_UP if sure else ALLOW_PROBE)
                 ep.allow = grown if grown < 2 * offered[ep.name] else math.inf
+            if self.ramp(ep) < 1:
+                ep.allow = COLD_PACE * self.pace * self.capacity(ep) or math.inf
+        warm = [ep for ep in self.endpoints.values() if ep.best and not self.tender(ep.name)]
+        self.pace = max(0.99 * self.pace, sum(e.best for e in warm) / (sum(map(self.capacity, warm)) + 1e-6))
         self.share = {n: min(1.0, self.endpoints[n].allow / (heat + 1e-6)) for n, heat in offered.items()}
         kept = sum(self.share[n] * heat for n, heat in offered.items())
         self.admitted = (kept + 1e-6) / (sum(offered.values()) + 1e-6)
@@ -442,8 +441,8 @@
             return full
         left, result = share * piece.heat, list(full)
         for k in sorted(range(len(full)), key=lambda k: -self.settings.classes[k].worth):
-            level = max(0.0, min(1.0, left / max(1e-6, piece.rates[k])))
-            left -= level * piece.rates[k]
+            level = min(1.0, max(0.0, left) / max(1e-6, piece.rates[k]))
+            left -= piece.rates[k]
             result[k] = max(LEVEL_LEAST, round(level / LEVEL_GRAIN) * LEVEL_GRAIN)
         return tuple(result)
 
@@ -541,11 +540,9 @@
         """The slop gate: some endpoint's count or heat per weight is off the mean by more than the slop."""
         if len(self.names) < 2 or not self.units:
             return False
-        for have, total in ((self.load, self.total), (self.count, len(self.units))):
-            mean = total / self.weight
-            if any(abs(x / w - mean) > SLOP * mean for x, w in zip(have, self.cap, strict=True)):
-                return True
-        return False
+        even = ((self.load, self.total / self.weight), (self.count, len(self.units) / self.weight))
+        return any(abs(x / w - mean) > SLOP * mean
+                   for have, mean in even for x, w in zip(have, self.cap, strict=True))
 
     def spread(self, squares: float, total: float) -> float:
         """Spread per weight, from 0 (even) to 1 (all on the smallest endpoint)."""
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -411,3 +411,41 @@
     assert min(world.levels.values()) < 1.0
     world.run(60, tries=0)
     assert set(world.levels.values()) == {1.0}
+
+
+def test_forced_moves_spread_over_cold_endpoints():
+    """Found day hb1e644: with only cold endpoints left, all evacuated slices went to the largest one."""
+    world = World(slices=40)
+    world.run(6)
+    fresh = tuple(entry(n, started=world.now, weight=w) for n, w in (("w", 1.2), ("x", 1.0), ("y", 1.0)))
+    world.tell(api.ListChanged("replace", fresh))
+    counts = [world.count(n) for n in "wxy"]
+    assert sum(counts) >= 40 and max(counts) <= 2 * min(counts)
+
+
+def test_cold_endpoints_let_in_only_what_the_fleet_s_pace_allows():
+    """Found day hb1e644: cold endpoints alone must refuse what they cannot do, before any late report."""
+    world = World(slices=40)
+    world.run(12, rate=8, tries=60)
+    world.tell(api.ListChanged("replace", tuple(entry(n, started=world.now) for n in "xy")))
+    world.names = ["x", "y"]
+    world.run(2, rate=8, tries=0)
+    assert min(world.levels.values()) < 1.0
+
+
+def test_surge_on_a_cold_endpoint_moves_at_once():
+    """Found day h3d30d7: a slice that became hot on a cold endpoint pushed it over within two seconds."""
+    world = World(slices=80)
+    world.run(8, rate=4)
+    world.names.append("z")
+    world.tell(api.ListChanged("update", (entry("z", started=world.now),)))
+    for _ in range(30):
+        world.run(0.5, rate=4)
+        held = [n for n in world.tables if set(world.tables[n]) == {"z"}]
+        if held:
+            break
+    assert held
+    for k in ("cheap", "dear"):
+        world.tell(api.SliceDemand(held[0], k, 100, 0, SECOND))
+    world.run(1, rate=4)
+    assert set(world.tables[held[0]]) != {"z"}
