Eject only when half of the proxies' zones agree: a link cut around us is no dead server

Also covers late reports of one zone; it could delay the ejection of a server that only one zone uses.

--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -69,12 +69,12 @@
 
     def forget(self) -> None:
         """Start with no evidence: first seen, or a new process under the old name."""
-        self.tries = self.fails = self.latency = 0.0  # decayed sums, mean latency in ns
+        self.tries = self.fails = self.latency = self.best = 0.0  # sums, ns, most answers a second
         self.heard = 0  # when evidence last came
+        self.views: dict[str, tuple[int, float]] = {}  # by proxy zone: when, and the failing share
         self.out_until = self.back_since = 0
         self.out_for = OUT_FIRST
         self.allow, self.cut_at = math.inf, 0  # requests a second it may be sent; when last cut
-        self.best = 0.0  # answers a second lately seen at best
 
 
 class Slice:
@@ -137,9 +137,6 @@
         for _ in range(out[-1] + 1 if out else 0):
             self.flights.popleft()
 
-    def landed(self, now: int) -> bool:
-        return not self.flights or now - self.last > 2 * SECOND + 2 * self.settings.transit_max
-
 
 class Planner:
     """One instance of the controller. `handle` is its only entrance."""
@@ -154,9 +151,9 @@
         self.channel = Channel(settings)
         self.listed = False  # a list newer than `restored` has come
         self.ask_at: int | None = 0 if settings.subscribe else None
-        self.ask_fails = 0
+        self.zones: dict[str, str] = {}  # zones with proxies, ever
         self.greet = True  # standing orders must be sent (again)
-        self.tick_at = self.round_at = self.judge_at = self.report_at = 0
+        self.tick_at = self.round_at = self.judge_at = self.report_at = self.ask_fails = 0
         self.median, self.crowded = 0.0, False
         self.share: Loads = {}  # let in of what is offered, by endpoint
         self.pace = 0.0  # answers a second for each unit of capacity, lately at best
@@ -208,7 +205,7 @@
         self.changed = True
 
     def on_ProxyJoined(self, event: api.ProxyJoined) -> None:
-        self.channel.proxies[event.proxy] = event.zone
+        self.channel.proxies[event.proxy] = self.zones[event.zone] = event.zone
         self.greet = True
 
     def on_ProxyLeft(self, event: api.ProxyLeft) -> None:
@@ -256,6 +253,7 @@
         ep.tries = ep.tries * keep + event.tries
         ep.fails = ep.fails * keep + event.failures
         ep.heard = self.report_at = self.now
+        ep.views[event.zone] = self.now, event.failures / event.tries
 
     # ---- what an endpoint may carry -------------------------------------------------------------
 
@@ -339,7 +337,8 @@
             self.judge()
             self.shed()
             self.evacuate()
-        if self.now >= self.round_at and self.channel.landed(self.now) and all(
+        lost = self.now - self.channel.last > 2 * SECOND + 2 * self.settings.transit_max
+        if self.now >= self.round_at and (lost or not self.channel.flights) and all(
                 p.lines == dict.fromkeys(p.homes, 1.0) for p in self.slices.values()):
             self.round_at = self.now + PERIOD
             self.split_hot()
@@ -384,7 +383,9 @@
             # Failing with slow good answers is overload: to eject would only push the load onto the next.
             ill = share > BAD_SHARE + rest and ep.latency < SLOW_FROM * self.median
             dead = share > DEAD_SHARE and rest < 0.5 and ep.tries > 2 * MIN_TRIES
-            if (ill or dead) and out + ep.weight <= EJECT_MOST * weight:
+            # A link cut around us is not a dead server: at least half of the proxies' zones must say so.
+            agreed = sum(self.now - at < 3 * period and bad > BAD_SHARE for at, bad in ep.views.values())
+            if (ill or dead) and 2 * agreed >= len(self.zones) and out + ep.weight <= EJECT_MOST * weight:
                 out += ep.weight
                 self.out.append(api.Log(f"eject {ep.name}: {share:.2f} of {ep.tries:.0f} tries fail, fleet "
                                         f"{rest:.2f}; {ep.latency // 1000} us, {self.median // 1000} us"))
@@ -533,8 +534,7 @@
         self.total, self.weight = sum(self.load) or 1.0, sum(self.cap) or 1.0
         self.heat_sq = sum(x * x / w for x, w in zip(self.load, self.cap, strict=True))
         self.count_sq = sum(x * x / w for x, w in zip(self.count, self.cap, strict=True))
-        self.lost = 0.0  # warmth lost by moves, in heat
-        self.moved = 0
+        self.lost, self.moved = 0.0, 0  # warmth lost by moves, in heat; units away from their start
 
     def skewed(self) -> bool:
         """The slop gate: some endpoint's count or heat per weight is off the mean by more than the slop."""
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -449,3 +449,19 @@
         world.tell(api.SliceDemand(held[0], k, 100, 0, SECOND))
     world.run(1, rate=4)
     assert set(world.tables[held[0]]) != {"z"}
+
+
+@pytest.mark.parametrize(("seen_from", "ejected"), [("a", False), ("ab", True)])
+def test_a_link_cut_around_the_controller_ejects_nobody(seen_from, ejected):
+    """ocitanja-vode rough-1: from inside a cut zone, all beyond the cut looks dead to that zone alone."""
+    world = World(slices=24)
+    world.tell(*(api.ProxyJoined(10 + k, zone, 5.0, True) for k, zone in enumerate("abc")))
+    world.proxies += [10, 11, 12]
+    for second in range(12):
+        world.now += SECOND
+        reports = [api.EndpointReport(zone, name, 10, 0, SECOND // 5, SECOND, ())
+                   for zone in "abc" for name in "pqrs" if name != "p" or second < 5]
+        if second >= 5:
+            reports += [api.EndpointReport(zone, "p", 10, 10, 0, SECOND, ()) for zone in seen_from]
+        world.tell(api.TimerFired(0), *reports)
+    assert (world.count("p") == 0) == ejected
