--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -29,8 +29,9 @@
 MOVE_CAP = 0.07  # share of own slices that a round may move
 # -- exceptions
 HOT_SHARE = 0.1  # of an average endpoint's fair heat: a slice above this gets further lines
-COLD_PACE = 1.4  # times the fleet's best pace: the most that a cold endpoint's slices let in
+COLD_PACE = 1.0  # times the fleet's best pace: the most that a cold endpoint's slices let in
 COLD_HEADROOM = 1.2  # times the fair share of a cold endpoint's present capacity
+CROWDED = 0.6  # part of the demand let in, below which cold endpoints share no slice with others
 EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
 MIN_TRIES = 4.0  # tries behind a verdict
 BAD_SHARE = 0.35  # failing share, above the fleet's, at which an endpoint is taken out
@@ -153,7 +154,7 @@
         self.zones: dict[str, str] = {}  # zones with proxies, ever
         self.greet = True  # standing orders must be sent (again)
         self.tick_at = self.round_at = self.judge_at = self.report_at = self.ask_fails = 0
-        self.median = 0.0
+        self.median, self.crowded = 0.0, False
         self.share: Loads = {}  # let in of what is offered, by endpoint
         self.pace = 0.0  # answers a second for each unit of capacity, lately at best
         self.admitted = 1.0  # and of all: refused clients' repeats must not count for a cold endpoint's part
@@ -304,10 +305,12 @@
             if any(h not in cap for h in piece.homes):
                 piece.homes = [h for h in piece.homes if h in cap]
                 piece.urgency = FAILURE  # what the list bars is raised to a rule when it is published
-            # Cold endpoints fall over when pushed: what they hold above their share leaves at once.
+            # Cold endpoints fall over when pushed: what they hold above their share leaves, and while
+            # others shed they share no slice, or they would get all that its other homes turn away.
             for home in [h for h in piece.homes if self.ramp(self.endpoints[h]) < 1]:
-                heat, over = piece.heat / len(piece.homes), load[home] > COLD_HEADROOM * mean * cap[home]
-                if over and self.roomiest(cap, load, heat, mean, piece.homes):
+                heat, shared = piece.heat / len(piece.homes), len(piece.homes) > 1
+                over = load[home] > COLD_HEADROOM * mean * cap[home]
+                if (shared and self.crowded) or (over and self.roomiest(cap, load, heat, mean, piece.homes)):
                     piece.homes.remove(home)
                     load[home] -= heat
                     piece.urgency = RULE
@@ -427,6 +430,7 @@
         self.share = {n: min(1.0, self.endpoints[n].allow / (heat + 1e-6)) for n, heat in offered.items()}
         kept = sum(self.share[n] * heat for n, heat in offered.items())
         self.admitted = (kept + 1e-6) / (sum(offered.values()) + 1e-6)
+        self.crowded = self.admitted < CROWDED
 
     def levels(self, piece: Slice) -> tuple[float, ...]:
         """Admission level of each class for a slice: what its homes allow goes to the most worth first."""
@@ -451,10 +455,11 @@
         load = self.loads(cap)
         mean = (sum(load.values()) + 1e-9) / (sum(cap.values()) + 1e-9)
         fair = mean * max(cap.values(), default=1.0)
+        fit = {n: room for n, room in cap.items() if not (self.crowded and self.tender(n))}
         for piece in self.slices.values():
             need = min(3, max(1, math.ceil(piece.heat / (HOT_SHARE * fair))))
-            if need > len(piece.homes):
-                best = self.roomiest(cap, load, piece.heat / need, self.admitted * mean, piece.homes)
+            if need > len(piece.homes) and not (self.crowded and any(map(self.tender, piece.homes))):
+                best = self.roomiest(fit, load, piece.heat / need, self.admitted * mean, piece.homes)
                 if best:
                     piece.homes.append(best)
                     load[best] += piece.heat / need
@@ -594,7 +599,8 @@
         if self.names[to] in piece.homes and to != self.start[unit]:
             return False  # a slice has each home once
         most = COLD_HEADROOM * self.planner.admitted * self.total / self.weight * self.cap[to]
-        return not self.cold[to] or self.load[to] + self.heat[unit] <= most
+        spill = self.planner.crowded and len(piece.homes) > 1
+        return not self.cold[to] or (not spill and self.load[to] + self.heat[unit] <= most)
 
     def run(self) -> list[tuple[Slice, list[str]]]:
         """Keep a step only if it is cheaper by the least gain; return the slices that end elsewhere."""
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -376,6 +376,19 @@
     assert world.now - before < 7 * SECOND and min(world.levels.values()) < 1.0
 
 
+def test_cold_endpoint_shares_no_slice_while_others_shed():
+    """Found days h657948, hfc796c, h116984: what full servers turn away went to their cold co-homes."""
+    world = World(slices=16)
+    for _ in range(14):
+        world.run(1, latency=dict.fromkeys("pqrs", 900), rate=60)
+        world.tell(api.SliceDemand(3, "cheap", 600, 0, SECOND))
+    assert min(world.levels.values()) < 1.0
+    world.names.append("z")
+    world.tell(api.ListChanged("update", (entry("z", started=world.now),)))
+    world.run(3, latency=dict.fromkeys("pqrs", 900), rate=60)
+    assert all(len(table) == 1 for table in world.tables.values() if "z" in table)
+
+
 def test_newcomer_is_taken_to_be_as_fast_as_others_of_its_weight():
     """Found day h116984: a cold server of a slow kind was filled as if it had the median's speed."""
     shares = {}
