Tidy the module: dead zone field, work out of loops, one late-report check

The endpoint's zone was never read; newcomers' peers were gathered for every listed entry; channel room and the cold limit were worked out anew for each slice and step; two functions repeated the check for late reports. Left as it is: the slop gate and spread both walk count and heat, which reads clearer than one merged loop.

--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -63,7 +63,7 @@
     """What is known of one endpoint."""
 
     def __init__(self, name: str) -> None:
-        self.name, self.zone, self.weight, self.state, self.started = name, "", 1.0, "unlisted", 0
+        self.name, self.weight, self.state, self.started = name, 1.0, "unlisted", 0
         self.speed = 1.0  # learned, against the fleet's median; the machine's, so it outlives a process
         self.forget()
 
@@ -95,7 +95,6 @@
         return sum(self.rates) + 0.01  # an unheard slice still counts a little
 
 
-
 class Channel:
     """Lines sent and not yet acknowledged. Counting acknowledgements, not the stated rate, holds when the
     channel runs slower than stated. Messages leave in order, so what half of the proxies have applied is
@@ -195,12 +194,12 @@
                 ep.state = "terminated" if ep.state != "unlisted" else ep.state
         for entry in event.entries:
             ep = self.endpoints.setdefault(entry.endpoint, Endpoint(entry.endpoint))
-            like = [e.speed for e in self.endpoints.values() if e.weight == entry.weight and e.tries]
-            if like and ep.state == "unlisted" and not ep.heard:
-                ep.speed = sum(like) / len(like)  # a newcomer is taken to be like others of its weight
+            if ep.state == "unlisted" and not ep.heard:  # a newcomer is like others of its weight
+                like = [e.speed for e in self.endpoints.values() if e.weight == entry.weight and e.tries]
+                ep.speed = sum(like) / len(like) if like else ep.speed
             if entry.started != ep.started:
                 ep.forget()
-            ep.zone, ep.started, ep.state = entry.zone, entry.started, entry.state
+            ep.started, ep.state = entry.started, entry.state
             ep.weight = entry.weight if entry.weight > 0 else 1.0
         self.changed = True
 
@@ -318,10 +317,9 @@
                     load[home] -= heat
                     piece.urgency = RULE
             if not piece.homes and cap:
-                heat = piece.heat
-                best = self.roomiest(cap, load, heat, mean, None)
+                best = self.roomiest(cap, load, piece.heat, mean, None)
                 piece.homes = [best]
-                load[best] += heat
+                load[best] += piece.heat
 
     def roomiest(self, cap: Loads, load: Loads, heat: float, mean: float, taken: list | None) -> str | None:
         """Where heat adds least per capacity; a cold endpoint only within its share, but for `taken` None."""
@@ -336,9 +334,12 @@
             self.ask_at = self.now + max(SECOND, self.settings.ask_every // 2)  # in case no answer comes
         if self.now >= self.judge_at:
             self.judge_at = self.now + self.settings.report_period
-            self.cool()
+            flowing = self.now - self.report_at <= 2 * self.settings.report_period
+            if flowing:  # reports late for all: heat and allowances hold
+                self.cool()
             self.judge()
-            self.shed()
+            if flowing:
+                self.shed()
             self.evacuate()
         lost = self.now - self.channel.last > 2 * SECOND + 2 * self.settings.transit_max
         if self.now >= self.round_at and (lost or not self.channel.flights) and all(
@@ -352,10 +353,8 @@
                 self.evacuate()
 
     def cool(self) -> None:
-        """Slices without requests send no line: let their heat fade, unless reports are late for all."""
+        """Slices without requests send no line: let their heat fade."""
         period = self.settings.report_period
-        if self.now - self.report_at > 2 * period:
-            return
         fade = math.exp(-period / SECOND / HEAT_TAU)
         warm = math.exp(-period / SECOND / WARM_TAU)
         for piece in self.slices.values():
@@ -411,8 +410,6 @@
         more. In requests, not in steps of a level: late reports would drive steps far past the mark."""
         span = self.settings.report_period / SECOND
         seen = span / (1 - math.exp(-span / EVIDENCE_TAU))  # s of answers in the decayed sums
-        if self.now - self.report_at > 2 * self.settings.report_period:
-            return  # reports are late for all: hold
         offered = self.loads(self.endpoints)
         for ep in self.endpoints.values():
             quiet = self.now - ep.heard > 2 * self.settings.report_period or ep.tries < MIN_TRIES
@@ -488,7 +485,8 @@
         """Send what differs from the published state: rules, then failures, then balance, hottest first,
         as one message a proxy and as much as the channel has room for."""
         lines: list[api.Action] = []
-        if self.greet and self.channel.room(self.now, FAILURE) > 2:
+        room = [self.channel.room(self.now, urgency) for urgency in (RULE, FAILURE, BALANCE)]
+        if self.greet and room[FAILURE] > 2:
             self.greet = False
             lines += self.admits(None, (1.0,) * len(self.settings.classes))
         todo, cap = [], self.usable()
@@ -501,7 +499,7 @@
                 urgency = RULE if must else FAILURE if min(levels) < min(piece.levels) else piece.urgency
                 todo.append((urgency, -piece.heat, piece.number, piece, orders, levels))
         for urgency, _, _, piece, orders, levels in sorted(todo, key=lambda t: t[:3]):
-            if len(lines) + len(orders) <= self.channel.room(self.now, urgency):
+            if len(lines) + len(orders) <= room[urgency]:
                 lines += orders
                 piece.lines, piece.levels, piece.urgency = dict.fromkeys(piece.homes, 1.0), levels, BALANCE
         if lines:
@@ -534,6 +532,7 @@
             self.load[at] += self.heat[unit]
             self.count[at] += 1
         self.total, self.weight = sum(self.load) or 1.0, sum(self.cap) or 1.0
+        self.most = COLD_HEADROOM * planner.part(self.total, self.weight)  # heat per capacity where cold
         self.heat_sq = sum(x * x / w for x, w in zip(self.load, self.cap, strict=True))
         self.count_sq = sum(x * x / w for x, w in zip(self.count, self.cap, strict=True))
         self.lost, self.moved = 0.0, 0  # warmth lost by moves, in heat; units away from their start
@@ -600,9 +599,9 @@
         piece, _ = self.units[unit]
         if self.names[to] in piece.homes and to != self.start[unit]:
             return False  # a slice has each home once
-        most = COLD_HEADROOM * self.planner.part(self.total, self.weight) * self.cap[to]
         spill = self.planner.crowded and len(piece.homes) > 1
-        return not self.cold[to] or (not spill and self.load[to] + self.heat[unit] <= most)
+        fits = self.load[to] + self.heat[unit] <= self.most * self.cap[to]
+        return not self.cold[to] or (fits and not spill)
 
     def run(self) -> list[tuple[Slice, list[str]]]:
         """Keep a step only if it is cheaper by the least gain; return the slices that end elsewhere."""
