--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -45,8 +45,8 @@
 RETRY = 1  # once, at another endpoint, on proof that the first try never ran
 # -- channel
 ROUND_MESSAGES = 2.0  # messages that a round may fill with further lines
-FILL = 0.48, 0.45, 0.42  # of the channel's limit, by urgency: rules find room behind balance
-MESSAGES = 1.0, 0.8, 0.7  # of the messages allowed, by urgency
+FILL = 0.49, 0.49, 0.48  # of the channel's limit, by urgency: rules find room behind balance
+MESSAGES = 1.0, 0.8, 0.75  # of the messages allowed, by urgency
 RULE, FAILURE, BALANCE = 0, 1, 2  # urgencies
 
 
@@ -66,6 +66,7 @@
         """Start with no evidence: first seen, or a new process under the old name."""
         self.tries = self.fails = self.rate = 0.0  # sums; answers a second
         self.latency = self.near = 0.0  # ns, and ns from where it is nearest
+        self.sound, self.seen = 1.0, 0  # share answered where it is most, and zones that told of it
         self.heard = 0  # when evidence last came
         self.views: dict[str, list[float]] = {}  # by proxy zone: tries, good, their time, s covered, heard
 
@@ -84,6 +85,7 @@
         self.latency = time / answered if answered > 0 else 0.0
         self.near = min((v[2] / v[1] for v in views if v[1] >= 1), default=self.latency)
         self.rate = sum(v[1] / v[3] for v in views)
+        self.sound, self.seen = max(v[1] / v[0] for v in views), len(views)
 
 
 class Slice:
@@ -169,6 +171,7 @@
         self.listed = False  # a list newer than `restored` has come
         self.ask_at: int | None = 0 if settings.subscribe else None
         self.met: dict[int, bool] = {}  # proxies that have joined since our start
+        self.zones: dict[str, str] = {}  # and their zones
         self.span = float(settings.report_period)  # that reports cover: more where they are many
         self.greet = True  # standing orders must be sent (again)
         self.level = self.wanted = (1.0,) * len(settings.classes)  # let in, as published and as it should be
@@ -228,7 +231,7 @@
         self.changed = True
 
     def on_ProxyJoined(self, event: api.ProxyJoined) -> None:
-        self.channel.proxies[event.proxy] = event.zone
+        self.channel.proxies[event.proxy] = self.zones[event.zone] = event.zone
         self.greet = True
         if not event.fresh:  # it keeps withdrawals of earlier streams; of our earlier lives, who knows which
             if event.proxy not in self.met:
@@ -330,7 +333,7 @@
                 if over and self.roomiest(cap, load, heat, mean, piece.homes):
                     piece.homes.remove(home)
                     load[home] -= heat
-                    piece.urgency = RULE
+                    piece.urgency = FAILURE
             if not piece.homes and cap:
                 best = self.roomiest(cap, load, piece.heat, mean, None)
                 piece.homes = [best]
@@ -385,9 +388,11 @@
         warm = [e for e in self.endpoints.values() if e.state == "in_service" and e.tries >= MIN_TRIES
                 and self.now - e.heard < self.settings.report_period + 2 * self.span and self.ramp(e) >= 1]
         times = sorted(e.latency for e in warm if e.latency > 0) or [1.0]
-        sound = sum(e.tries - e.fails for e in warm) / (sum(e.tries for e in warm) + 1e-9) + 1e-9
+        # A link cut around us is no dead server, nor a lossy one: half of the zones must tell of it.
+        sound = {e.name: e.sound if 2 * e.seen >= len(self.zones) else 1.0 for e in warm}
+        usual = sum(sound.values()) / (len(sound) + 1e-9) + 1e-9
         for ep in warm:
-            answered = min(1.0, (1 - ep.fails / ep.tries) / sound)
+            answered = min(1.0, sound[ep.name] / usual)
             target = times[len(times) // 2] / max(ep.latency, times[0]) * answered**FAILING
             gain = SPEED_DOWN if target < ep.speed else SPEED_UP
             ep.speed *= (min(SPEEDS[1], max(SPEEDS[0], target)) / ep.speed) ** gain
@@ -491,7 +496,9 @@
             todo.append((urgency, -piece.heat, piece.number, piece, bare, self.orders(piece, bare)))
         todo.sort(key=lambda t: t[:3])
         bares = sum(len(orders) for urgency, *_, orders in todo if urgency == RULE)
-        flips = [api.Withdraw(n, True) for n in shut] + [api.Withdraw(n, False) for n in back]
+        flips = [api.Withdraw(n, True) for n in shut]
+        if lines or flips or room[BALANCE] > 0:  # a return alone is not worth a message kept for rules
+            flips += [api.Withdraw(n, False) for n in back]
         if pressing or len(lines) + bares + len(flips) <= room[RULE]:
             lines += (flips := flips[:max(0, room[RULE] - len(lines))])
             self.shut.update((f.endpoint, f.out) for f in flips)
