--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -1,8 +1,8 @@
 """Every decision of damsonpick. Types, events and actions: damsonpick/interface.py.
 
-The ordinary path is HBase's StochasticLoadBalancer as the design page states it: a slop gate on slice
-count and heat per listed weight, a keep-if-cheaper search with three pickers on a copy, a move cap, and
-hottest-first publishing within the channel's budget. Everything else is an exception to it, and says so.
+The ordinary path is HBase's StochasticLoadBalancer as the design page states it: a slop gate on slice count
+and heat per listed weight, a keep-if-cheaper search with three pickers on a copy, a move cap, and hottest
+first publishing within the channel's budget. Everything else is an exception to it, and says so.
 """
 
 from __future__ import annotations
@@ -21,17 +21,15 @@
 SLOP = 0.3  # share off the mean that is still even: slices are lumpy
 STEP_FACTOR, MAX_STEPS = 1.0, 20_000  # steps per slice and endpoint; a round's most, bounds the CPU
 MIN_GAIN = 0.002  # cost a kept step must save
-HEAT_TAU = 9.0  # s over which heat is averaged
+HEAT_TAU, WARM_TAU = 9.0, 15.0  # s over which heat is averaged; in which an endpoint warms to a slice
 SURGE, SURGE_SHARE = 3.0, 0.7  # times the average at which demand has jumped; how much of it counts at once
-WARM_TAU = 15.0  # s in which an endpoint warms to a slice, or forgets it
 COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
 MOVE_CAP = 0.07  # share of own slices that a round may move
 # -- exceptions
 HOT_SHARE = 0.1  # of an average endpoint's fair heat: a slice above this gets further lines
 COLD_PACE = 1.5  # times the fleet's best pace: the most let in while most of it is cold
 COLD_HEADROOM = 1.2  # times the fair share of a cold endpoint's present capacity
-EVIDENCE_TAU = 2.5  # s over which failures and latency are averaged
-MIN_TRIES = 4.0  # tries behind a judgement of speed
+EVIDENCE_TAU, MIN_TRIES = 2.5, 4.0  # s over which answers are averaged; tries behind a judgement
 SPEED_DOWN, SPEED_UP = 0.25, 0.12  # how far learned speed follows the observed each report period
 SPEEDS = 0.1, 2.0  # its bounds
 FAILING = 0.5  # power by which the answered share counts as speed
@@ -39,18 +37,15 @@
 CUT_DEPTH, CUT_LEAST = 0.3, 0.7  # cut by this times latency per aim, to no less than this part
 KNOWN = 0.85  # of the best answered lately: grow fast below, feel the way above
 ALLOW_UP, ALLOW_PROBE = 1.15, 1.04  # growth a report period
-BEST_KEPT, BEST_LATE = 0.99, 0.95  # fading of the best, a report period
+BEST_KEPT = 0.98  # fading of the best, a report period
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 STEPS = 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0  # levels for all; no class is shut out
 RETRY = 1  # once, at another endpoint, on proof that the first try never ran
 # -- channel
 ROUND_MESSAGES = 2.0  # messages that a round may fill with further lines
-FILL = 0.49, 0.49, 0.48  # of the channel's limit, by urgency: rules find room behind balance
-MESSAGES = 1.0, 0.8, 0.75  # of the messages allowed, by urgency
-RULE, FAILURE, BALANCE = 0, 1, 2  # urgencies
-
-
-Loads = dict[str, float]  # heat or capacity by endpoint
+FILL = 0.49, 0.49, 0.48, 0.4  # of the channel's limit, by urgency: rules find room behind balance
+MESSAGES = 1.0, 0.8, 0.75, 0.75  # of the messages allowed, by urgency
+RULE, FAILURE, BALANCE, LEISURE = 0, 1, 2, 3  # urgencies
 
 
 class Endpoint:
@@ -131,7 +126,8 @@
             spaced = spaced or 2 * len(self.sent) > allowed
             if len(self.sent) + 1 > allowed or (spaced and now - self.last < s.message_window / allowed):
                 return 0
-        return self.lines(urgency, sum(cost * len(waits) / most for _, cost, most, waits in self.flights))
+        room = self.lines(urgency, sum(cost * len(waits) / most for _, cost, most, waits in self.flights))
+        return room if 2 * room >= self.lines(urgency, 0.0) else 0  # many small messages would be all heads
 
     def lines(self, urgency: int, waiting: float) -> int:
         """Lines of a message to all proxies, with this much waiting. Each costs its head as well."""
@@ -170,8 +166,7 @@
         self.channel = Channel(settings)
         self.listed = False  # a list newer than `restored` has come
         self.ask_at: int | None = 0 if settings.subscribe else None
-        self.met: dict[int, bool] = {}  # proxies that have joined since our start
-        self.zones: dict[str, str] = {}  # and their zones
+        self.met: dict[int, str] = {}  # proxies that have joined since our start, and their zones
         self.span = float(settings.report_period)  # that reports cover: more where they are many
         self.greet = True  # standing orders must be sent (again)
         self.level = self.wanted = (1.0,) * len(settings.classes)  # let in, as published and as it should be
@@ -180,9 +175,8 @@
         self.restate: list[str] = []  # what a proxy that was away may have missed of it
         self.tick_at = self.round_at = self.judge_at = self.report_at = self.ask_fails = 0
         self.allow, self.best, self.cut_at = math.inf, 0.0, 0  # answers/s allowed, seen at best; last cut
-        self.pace = 0.0  # answers a second for each unit of capacity, lately at best
-        self.admitted = 1.0  # share let in: refused repeats must not count for a cold endpoint's part
-        self.changed = True
+        self.pace, self.admitted = 0.0, 1.0  # best answers/s for each unit of capacity; share let in
+        self.changed = self.landed = True
         self.out: list[api.Action] = []
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
@@ -231,13 +225,13 @@
         self.changed = True
 
     def on_ProxyJoined(self, event: api.ProxyJoined) -> None:
-        self.channel.proxies[event.proxy] = self.zones[event.zone] = event.zone
+        self.channel.proxies[event.proxy] = event.zone
         self.greet = True
         if not event.fresh:  # it keeps withdrawals of earlier streams; of our earlier lives, who knows which
             if event.proxy not in self.met:
                 self.shut = dict.fromkeys(self.endpoints, False) | self.shut
             self.restate = list(self.shut)
-        self.met[event.proxy] = True
+        self.met[event.proxy] = event.zone
 
     def on_ProxyLeft(self, event: api.ProxyLeft) -> None:
         self.channel.proxies.pop(event.proxy, None)
@@ -268,9 +262,8 @@
             return
         span = event.period / SECOND
         rate, share = event.requests / span, 1 - math.exp(-span / HEAT_TAU)
-        if not piece.heard[k] or rate > SURGE * (piece.rates[k] + 1):
-            share = SURGE_SHARE
-        piece.rates[k] += share * (rate - piece.rates[k])
+        surge = not piece.heard[k] or rate > SURGE * (piece.rates[k] + 1)
+        piece.rates[k] += (SURGE_SHARE if surge else share) * (rate - piece.rates[k])
         piece.heard[k] = self.report_at = self.now
 
     def on_EndpointReport(self, event: api.EndpointReport) -> None:
@@ -341,7 +334,7 @@
             if piece.astray():
                 self.dirty[piece.number] = piece
 
-    def roomiest(self, cap: Loads, load: Loads, heat: float, mean: float, taken: list | None) -> str | None:
+    def roomiest(self, cap: dict, load: dict, heat: float, mean: float, taken: list | None) -> str | None:
         """Where heat adds least per capacity; a cold endpoint only within its share, but for `taken` None."""
         levels = {n: (load[n] + heat) / room for n, room in cap.items() if n not in (taken or ())}
         fit = [n for n, level in levels.items() if level <= COLD_HEADROOM * mean or not self.tender(n)]
@@ -360,7 +353,7 @@
                 self.shed()
             self.evacuate()
         lost = self.now - self.channel.last > 2 * SECOND + 2 * self.settings.transit_max
-        if self.now >= self.round_at and self.report_at and not self.dirty and (
+        if self.now >= self.round_at and self.report_at and self.landed and (
                 lost or not self.channel.flights):
             self.round_at = self.now + PERIOD
             self.split_hot()
@@ -385,11 +378,12 @@
         """Exception (doubt: listed weight does not tell speed): capacity follows latency, and the share that
         is answered, against the fleet's. Covers slow, overloaded, ageing, hung and failing ones, whatever
         they report; none is taken out, which threw its load on the next. Harm: costly keys look slow."""
-        warm = [e for e in self.endpoints.values() if e.state == "in_service" and e.tries >= MIN_TRIES
-                and self.now - e.heard < self.settings.report_period + 2 * self.span and self.ramp(e) >= 1]
+        warm = [e for e in self.endpoints.values() if e.state == "in_service" and self.ramp(e) >= 1
+                and e.tries >= MIN_TRIES and self.now - e.heard <= 2 * self.span]
         times = sorted(e.latency for e in warm if e.latency > 0) or [1.0]
         # A link cut around us is no dead server, nor a lossy one: half of the zones must tell of it.
-        sound = {e.name: e.sound if 2 * e.seen >= len(self.zones) else 1.0 for e in warm}
+        zones = len(dict.fromkeys(self.met.values()))
+        sound = {e.name: e.sound if 2 * e.seen >= zones else 1.0 for e in warm}
         usual = sum(sound.values()) / (len(sound) + 1e-9) + 1e-9
         for ep in warm:
             answered = min(1.0, sound[ep.name] / usual)
@@ -399,13 +393,13 @@
 
     def shed(self) -> None:
         """Exception: when answers come late across the fleet it is allowed less than it was seen to answer,
-        then slowly more. In requests, not in steps of a level: late reports would drive steps far past the
-        mark. One level a class for all slices: a line for each would fill the channel and hold up drains."""
+        then slowly more. Late reports would drive steps of a level far past the mark, and a level for each
+        slice would fill the channel and hold up drains."""
         cap = self.usable()
         fresh = [e for e in map(self.endpoints.get, cap) if self.now - e.heard <= 2 * self.span and e.rate]
         good = sum(e.rate for e in fresh)
         late = sum(e.rate * e.near for e in fresh) / (good * self.aim + 1e-9)
-        self.best = max(good, self.best * (BEST_LATE if late > SHED_LATENCY else BEST_KEPT))
+        self.best = max(good, self.best * BEST_KEPT)
         rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
         if late > SHED_LATENCY:
             if self.now - self.cut_at > CUT_HOLD:
@@ -420,13 +414,12 @@
         if 2 * sum(cap[n] for n in filter(self.tender, cap)) > total:  # cold ones refuse before they fall
             self.allow = min(self.allow, COLD_PACE * self.pace * total or math.inf)
         self.admitted = min(1.0, self.allow / (sum(rates) + 1e-6))
-        self.wanted = self.levels(self.admitted, rates)
+        if self.settings.admission == "ratio":
+            self.wanted = self.levels(self.admitted, rates)
 
     def levels(self, share: float, rates: list[float]) -> tuple[float, ...]:
         """Admission level of each class where this share of demand can be let in: the most worth first."""
         left, result = share * sum(rates), [1.0] * len(rates)
-        if self.settings.admission != "ratio":
-            return tuple(result)
         for k in sorted(range(len(rates)), key=lambda k: -self.settings.classes[k].worth):
             level = min(1.0, max(0.0, left) / max(1e-6, rates[k]))
             left -= rates[k]
@@ -453,19 +446,21 @@
                     piece.homes.append(best)
                     load[best] += piece.heat / (have + 1)
                     budget -= 1
-            elif have > 1 and piece.heat * 1.5 < HOT_SHARE * fair * (have - 1):
-                piece.homes.pop()
 
-    def orders(self, piece: Slice, bare: bool) -> list[api.Action]:
-        """What brings a table to what is wanted: new lines first, and alone where it is bare."""
-        adds = [api.SetLine(piece.number, n, 1.0) for n in piece.homes if piece.lines.get(n) != 1.0]
-        gone = [] if bare or self.settings.sole_owner else [n for n in piece.lines if n not in piece.homes]
-        return adds + [api.SetLine(piece.number, n, 0.0) for n in gone]
+    def orders(self, piece: Slice) -> tuple[int, list[str], list[str]]:
+        """How urgent a slice's table is, and the endpoints it gains and loses. New lines go alone where it is
+        bare; lines of endpoints that are withdrawn and stay away can wait until nothing else does."""
+        adds = [n for n in piece.homes if piece.lines.get(n) != 1.0]
+        gone = [n for n in piece.lines if n not in piece.homes and not self.settings.sole_owner]
+        if all(self.barred(n) or self.shut.get(n) for n in piece.lines):
+            return RULE, adds, []
+        live = [n for n in gone if not (self.shut.get(n) and self.barred(n))]
+        return (piece.urgency, adds, live) if adds or live else (LEISURE, adds, gone)
 
     def withdrawals(self) -> tuple[list[str], list[str], bool]:
         """Exception: endpoints to withdraw and to let in again, and whether the first may not wait. One line
-        shuts out what the list bars, where rewriting tables takes two for each slice: at 100 proxies that
-        would miss the grace. Its old lines leave the tables later, and only then may it come back."""
+        shuts out what the list bars; two for each slice would miss the grace at 100 proxies. Its old lines
+        leave the tables later, and only then may it come back."""
         stale = {n: True for p in self.dirty.values() for n in p.lines if n not in p.homes}
         shut = [n for n in stale if self.barred(n) and not self.shut.get(n)]
         back = [n for n, out in self.shut.items() if out and n not in stale and not self.barred(n)]
@@ -480,22 +475,17 @@
                 self.dirty or self.greet or self.restate or self.wanted != self.level):
             return
         lines: list[api.Action] = []
-        room = [self.channel.room(self.now, urgency) for urgency in (RULE, FAILURE, BALANCE)]
+        room = [self.channel.room(self.now, urgency) for urgency in (RULE, FAILURE, BALANCE, LEISURE)]
         while self.restate and len(lines) < room[RULE]:
             lines.append(api.Withdraw(self.restate[-1], self.shut[self.restate.pop()]))
         if (self.greet or self.wanted != self.level) and room[FAILURE] > len(lines) + 2:
             self.greet, self.level = False, self.wanted
-            # A further try only on proof that the first never ran: safe for every class, and after any
-            # failure it would double the load of servers that are late.
+            # Tries again only on proof that the first never ran: safe for every class, and no double load.
             lines += [api.Admit(None, (k,), level, RETRY) for k, level in enumerate(self.wanted)]
         shut, back, pressing = self.withdrawals()
-        todo = []
-        for piece in self.dirty.values():
-            bare = all(self.barred(n) or self.shut.get(n) for n in piece.lines)
-            urgency = RULE if bare else piece.urgency
-            todo.append((urgency, -piece.heat, piece.number, piece, bare, self.orders(piece, bare)))
-        todo.sort(key=lambda t: t[:3])
-        bares = sum(len(orders) for urgency, *_, orders in todo if urgency == RULE)
+        todo = sorted(((*self.orders(p), p) for p in self.dirty.values()),
+                      key=lambda t: (t[0], -t[3].heat, t[3].number))
+        bares = sum(len(adds) for urgency, adds, *_ in todo if urgency == RULE)
         flips = [api.Withdraw(n, True) for n in shut]
         if lines or flips or room[BALANCE] > 0:  # a return alone is not worth a message kept for rules
             flips += [api.Withdraw(n, False) for n in back]
@@ -503,13 +493,17 @@
             lines += (flips := flips[:max(0, room[RULE] - len(lines))])
             self.shut.update((f.endpoint, f.out) for f in flips)
             self.changed = self.changed or bool(flips)
-        for urgency, _, _, piece, bare, orders in todo:
-            if len(lines) + len(orders) <= room[urgency]:
-                lines += orders
-                kept = piece.lines if bare and not self.settings.sole_owner else {}
+        self.landed, sole = True, self.settings.sole_owner  # an owner's new line takes the place of the old
+        for urgency, adds, drops, piece in todo:
+            if len(lines) + len(adds) + len(drops) <= room[urgency]:
+                lines += [api.SetLine(piece.number, n, 1.0) for n in adds]
+                lines += [api.SetLine(piece.number, n, 0.0) for n in drops]
+                kept = {n: w for n, w in piece.lines.items() if n not in drops and not sole}
                 piece.lines, piece.urgency = kept | dict.fromkeys(piece.homes, 1.0), BALANCE
                 if not piece.astray():
                     del self.dirty[piece.number]
+            else:
+                self.landed = self.landed and urgency == LEISURE
         if lines:
             self.out += [*lines, self.channel.send(self.now, len(lines))]
 
@@ -517,7 +511,7 @@
 class Search:
     """The design's search on a copy: units of heat (a slice, or its share on each of its homes)."""
 
-    def __init__(self, planner: Planner, cap: Loads) -> None:
+    def __init__(self, planner: Planner, cap: dict[str, float]) -> None:
         self.planner, self.random = planner, planner.random
         self.names = list(cap)
         self.cap = [max(1e-6, cap[n]) for n in self.names]
@@ -549,8 +543,7 @@
         """The slop gate: some endpoint's count or heat per weight is off the mean by more than the slop."""
         if len(self.names) < 2 or not self.units:
             return False
-        count = list(map(len, self.on))
-        even = ((self.load, self.total / self.weight), (count, len(self.units) / self.weight))
+        even = (self.load, self.total / self.weight), (map(len, self.on), len(self.units) / self.weight)
         return any(abs(x / w - mean) > SLOP * mean
                    for have, mean in even for x, w in zip(have, self.cap, strict=True))
 
@@ -608,10 +601,8 @@
 
     def allowed(self, unit: int, to: int) -> bool:
         piece, _ = self.units[unit]
-        if self.names[to] in piece.homes and to != self.start[unit]:
-            return False  # a slice has each home once
-        fits = self.load[to] + self.heat[unit] <= self.most * self.cap[to]
-        return not self.cold[to] or fits
+        fits = not self.cold[to] or self.load[to] + self.heat[unit] <= self.most * self.cap[to]
+        return fits and (to == self.start[unit] or self.names[to] not in piece.homes)  # each home once
 
     def run(self) -> None:
         """Keep a step only if it is cheaper by the least gain; then the slices' homes follow."""
