--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -33,14 +33,13 @@
 SPEED_DOWN, SPEED_UP = 0.25, 0.12  # how far learned speed follows the observed each report period
 SPEEDS = 0.1, 2.0  # its bounds
 FAILING = 0.5  # power by which the answered share counts as speed
-SHED_LATENCY, CALM_LATENCY = 0.5, 0.35  # of the aim: allow less above, more below
+SHED_LATENCY, CALM_LATENCY = 0.4, 0.3  # of the aim: allow less above, more below
 CUT_DEPTH, CUT_LEAST = 0.3, 0.7  # cut by this times latency per aim, to no less than this part
-KNOWN = 0.85  # of the best answered lately: grow fast below, feel the way above
+KNOWN, BEST_KEPT = 0.85, 0.98  # of the best answered: grow fast below, probe above; what a period keeps
 ALLOW_UP, ALLOW_PROBE = 1.15, 1.04  # growth a report period
-BEST_KEPT = 0.98  # fading of the best, a report period
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 STEPS = 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0  # levels for all; no class is shut out
-RETRY = 1  # once, at another endpoint, on proof that the first try never ran
+RETRY = 1  # once, at another endpoint, on proof that the first never ran: safe for all, no double load
 # -- channel
 ROUND_MESSAGES = 2.0  # messages that a round may fill with further lines
 FILL = 0.49, 0.49, 0.48, 0.4  # of the channel's limit, by urgency: rules find room behind balance
@@ -60,14 +59,13 @@
     def forget(self) -> None:
         """Start with no evidence: first seen, or a new process under the old name."""
         self.tries = self.fails = self.rate = 0.0  # sums; answers a second
-        self.latency = self.near = 0.0  # ns, and ns from where it is nearest
+        self.latency = 0.0  # ns
         self.sound, self.seen = 1.0, 0  # share answered where it is most, and zones that told of it
         self.heard = 0  # when evidence last came
         self.views: dict[str, list[float]] = {}  # by proxy zone: tries, good, their time, s covered, heard
 
     def hear(self, now: int, report: api.EndpointReport) -> None:
-        """Add a report to what its zone saw. Rates go by the time covered, which grows with the fleet. `near`
-        guards against slow or lossy links: from where it is nearest, a sound endpoint still answers fast."""
+        """Add a report to what its zone saw. Rates go by the time covered, which grows with the fleet."""
         good, span = report.tries - report.failures, report.period / SECOND
         view = self.views.setdefault(report.zone, [0.0, 0.0, 0.0, 0.0, now])
         keep = math.exp(-max(0, now - view[4]) / SECOND / EVIDENCE_TAU)
@@ -78,7 +76,6 @@
         self.tries, answered, time = (sum(v[k] for v in views) for k in range(3))
         self.fails = self.tries - answered
         self.latency = time / answered if answered > 0 else 0.0
-        self.near = min((v[2] / v[1] for v in views if v[1] >= 1), default=self.latency)
         self.rate = sum(v[1] / v[3] for v in views)
         self.sound, self.seen = max(v[1] / v[0] for v in views), len(views)
 
@@ -169,7 +166,7 @@
         self.met: dict[int, str] = {}  # proxies that have joined since our start, and their zones
         self.span = float(settings.report_period)  # that reports cover: more where they are many
         self.greet = True  # standing orders must be sent (again)
-        self.level = self.wanted = (1.0,) * len(settings.classes)  # let in, as published and as it should be
+        self.level = self.wanted = (1.0,) * len(settings.classes)  # let in: as published, as wanted
         self.dirty: dict[int, Slice] = {}  # slices whose table is not as wanted
         self.shut: dict[str, bool] = {}  # endpoints ever withdrawn, and whether they are now
         self.restate: list[str] = []  # what a proxy that was away may have missed of it
@@ -381,13 +378,13 @@
         warm = [e for e in self.endpoints.values() if e.state == "in_service" and self.ramp(e) >= 1
                 and e.tries >= MIN_TRIES and self.now - e.heard <= 2 * self.span]
         times = sorted(e.latency for e in warm if e.latency > 0) or [1.0]
+        middle = times[len(times) // 2]
         # A link cut around us is no dead server, nor a lossy one: half of the zones must tell of it.
         zones = len(dict.fromkeys(self.met.values()))
         sound = {e.name: e.sound if 2 * e.seen >= zones else 1.0 for e in warm}
-        usual = sum(sound.values()) / (len(sound) + 1e-9) + 1e-9
+        usual = sum(sound.values()) / (len(sound) or 1) + 1e-9
         for ep in warm:
-            answered = min(1.0, sound[ep.name] / usual)
-            target = times[len(times) // 2] / max(ep.latency, times[0]) * answered**FAILING
+            target = middle / (ep.latency or middle) * min(1.0, sound[ep.name] / usual) ** FAILING
             gain = SPEED_DOWN if target < ep.speed else SPEED_UP
             ep.speed *= (min(SPEEDS[1], max(SPEEDS[0], target)) / ep.speed) ** gain
 
@@ -398,7 +395,10 @@
         cap = self.usable()
         fresh = [e for e in map(self.endpoints.get, cap) if self.now - e.heard <= 2 * self.span and e.rate]
         good = sum(e.rate for e in fresh)
-        late = sum(e.rate * e.near for e in fresh) / (good * self.aim + 1e-9)
+        # The middle of what all zones met: slow links, or servers, that are fewer than half do not shed.
+        views, seen = sorted((v[2] / v[1], v[1]) for e in fresh for v in e.views.values() if v[1] > 0), 0.0
+        half = sum(n for _, n in views) / 2
+        late = next((time for time, n in views if (seen := seen + n) >= half), 0.0) / self.aim
         self.best = max(good, self.best * BEST_KEPT)
         rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
         if late > SHED_LATENCY:
@@ -421,7 +421,7 @@
         """Admission level of each class where this share of demand can be let in: the most worth first."""
         left, result = share * sum(rates), [1.0] * len(rates)
         for k in sorted(range(len(rates)), key=lambda k: -self.settings.classes[k].worth):
-            level = min(1.0, max(0.0, left) / max(1e-6, rates[k]))
+            level = 1.0 if share >= 1 else min(1.0, (max(0.0, left) + 1e-6) / (rates[k] + 1e-6))
             left -= rates[k]
             result[k] = min(STEPS, key=lambda step: abs(step - level))
         return tuple(result)
@@ -464,8 +464,9 @@
         stale = {n: True for p in self.dirty.values() for n in p.lines if n not in p.homes}
         shut = [n for n in stale if self.barred(n) and not self.shut.get(n)]
         back = [n for n, out in self.shut.items() if out and n not in stale and not self.barred(n)]
-        s = self.settings
-        slack = s.drain_grace - s.transit_max - FILL[RULE] * s.channel_limit / s.channel_rate * SECOND - TICK
+        s, full = self.settings, FILL[RULE] * self.settings.channel_limit / self.settings.channel_rate
+        spaced = s.message_window / s.messages_per_window if s.messages_per_window else 0
+        slack = s.drain_grace - s.transit_max - full * SECOND - spaced - TICK
         return shut, back, any(self.now - self.endpoints[n].told >= slack for n in shut)
 
     def publish(self) -> None:
@@ -480,7 +481,6 @@
             lines.append(api.Withdraw(self.restate[-1], self.shut[self.restate.pop()]))
         if (self.greet or self.wanted != self.level) and room[FAILURE] > len(lines) + 2:
             self.greet, self.level = False, self.wanted
-            # Tries again only on proof that the first never ran: safe for every class, and no double load.
             lines += [api.Admit(None, (k,), level, RETRY) for k, level in enumerate(self.wanted)]
         shut, back, pressing = self.withdrawals()
         todo = sorted(((*self.orders(p), p) for p in self.dirty.values()),
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -481,3 +481,25 @@
         world.run(6, rate=rate, tries=80)
         held[rate] = sum(rate / len(t) for t in world.tables.values() if "z" in t)
     assert held[200] < 10 * max(held[4], 4)
+
+
+def test_a_planner_left_without_slices_lowers_no_level():
+    """ocitanja-vode rough-1 (zone_cut): with all slices taken away no demand was left, and all was refused."""
+    world = World()
+    world.run(6)
+    world.tell(*(api.CustodyChanged(n, False) for n in list(world.tables)))
+    for _ in range(20):
+        world.now += SECOND // 4
+        reports = [api.EndpointReport("a", n, 20, 0, SECOND // 5, SECOND, ()) for n in "pq"]
+        world.tell(api.TimerFired(0), *reports)
+    assert all(level == 1.0 for level in world.levels.values())
+
+
+def test_a_class_without_demand_is_not_shut_out():
+    world = World()
+    world.run(4)
+    for _ in range(10):
+        world.now += SECOND
+        events = [e for e in world.report(rate=40) if getattr(e, "request_class", "") != "dear"]
+        world.tell(api.TimerFired(0), *events)
+    assert world.levels[None, 1] == 1.0
