--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -48,8 +48,6 @@
 
 
 class Endpoint:
-    """What is known of one endpoint."""
-
     def __init__(self, name: str) -> None:
         self.name, self.weight, self.state, self.started = name, 1.0, "unlisted", 0
         self.told = 0  # when the list barred it
@@ -90,7 +88,6 @@
         self.rates = [0.0] * classes  # requests a second by class, averaged
         self.heard = [0] * classes
         self.warmth: dict[str, float] = {}
-        self.urgency = BALANCE
 
     @property
     def heat(self) -> float:
@@ -124,6 +121,8 @@
             if len(self.sent) + 1 > allowed or (spaced and now - self.last < s.message_window / allowed):
                 return 0
         room = self.lines(urgency, sum(cost * len(waits) / most for _, cost, most, waits in self.flights))
+        if urgency == RULE and not self.flights:  # where the limit takes no message at all, rules still go
+            return max(room, 2)
         return room if 2 * room >= self.lines(urgency, 0.0) else 0  # many small messages would be all heads
 
     def lines(self, urgency: int, waiting: float) -> int:
@@ -137,7 +136,7 @@
         self.flights.append((self.mark, cost, len(self.proxies), dict(self.proxies)))
         self.sent.append(now)
         self.last = now
-        return api.Mark(self.mark, False)
+        return api.Mark(self.mark, True)  # all: withdrawals alone may reach nobody, and wait for ever
 
     def settle(self, proxy: int, mark: int | None) -> None:
         """A proxy has applied what came up to a mark, or (None) has left and will apply nothing."""
@@ -164,6 +163,9 @@
         self.listed = False  # a list newer than `restored` has come
         self.ask_at: int | None = 0 if settings.subscribe else None
         self.met: dict[int, str] = {}  # proxies that have joined since our start, and their zones
+        s, full = settings, FILL[RULE] * settings.channel_limit / settings.channel_rate
+        spaced = s.message_window / s.messages_per_window if s.messages_per_window else 0
+        self.slack = s.drain_grace - s.transit_max - full * SECOND - spaced - TICK  # till a drain is due
         self.span = float(settings.report_period)  # that reports cover: more where they are many
         self.greet = True  # standing orders must be sent (again)
         self.level = self.wanted = (1.0,) * len(settings.classes)  # let in: as published, as wanted
@@ -173,7 +175,7 @@
         self.tick_at = self.round_at = self.judge_at = self.report_at = self.ask_fails = 0
         self.allow, self.best, self.cut_at = math.inf, 0.0, 0  # answers/s allowed, seen at best; last cut
         self.pace, self.admitted = 0.0, 1.0  # best answers/s for each unit of capacity; share let in
-        self.changed = self.landed = True
+        self.changed, self.landed, self.over = True, True, 0.0
         self.out: list[api.Action] = []
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
@@ -323,7 +325,6 @@
                 if over and self.roomiest(cap, load, heat, mean, piece.homes):
                     piece.homes.remove(home)
                     load[home] -= heat
-                    piece.urgency = FAILURE
             if not piece.homes and cap:
                 best = self.roomiest(cap, load, piece.heat, mean, None)
                 piece.homes = [best]
@@ -338,7 +339,7 @@
         return min(fit or (levels if taken is None else []), key=levels.__getitem__, default=None)
 
     def tick(self) -> None:
-        """The slow clockwork: list, health, levels, rounds."""
+        """The slow clockwork: list, learned speed, levels, rounds."""
         if self.ask_at is not None and self.now >= self.ask_at:
             self.out.append(api.Subscribe(True))
             self.ask_at = self.now + max(SECOND, self.settings.ask_every // 2)  # in case no answer comes
@@ -349,9 +350,8 @@
                 self.learn_speed()
                 self.shed()
             self.evacuate()
-        lost = self.now - self.channel.last > 2 * SECOND + 2 * self.settings.transit_max
-        if self.now >= self.round_at and self.report_at and self.landed and (
-                lost or not self.channel.flights):
+        old = self.now - self.channel.last > 2 * SECOND + 2 * self.settings.transit_max
+        if self.now >= self.round_at and self.report_at and self.landed and (old or not self.channel.flights):
             self.round_at = self.now + PERIOD
             self.split_hot()
             search = Search(self, self.usable())
@@ -455,57 +455,55 @@
         if all(self.barred(n) or self.shut.get(n) for n in piece.lines):
             return RULE, adds, []
         live = [n for n in gone if not (self.shut.get(n) and self.barred(n))]
-        return (piece.urgency, adds, live) if adds or live else (LEISURE, adds, gone)
-
-    def withdrawals(self) -> tuple[list[str], list[str], bool]:
-        """Exception: endpoints to withdraw and to let in again, and whether the first may not wait. One line
-        shuts out what the list bars; two for each slice would miss the grace at 100 proxies. Its old lines
-        leave the tables later, and only then may it come back."""
-        stale = {n: True for p in self.dirty.values() for n in p.lines if n not in p.homes}
-        shut = [n for n in stale if self.barred(n) and not self.shut.get(n)]
-        back = [n for n, out in self.shut.items() if out and n not in stale and not self.barred(n)]
-        s, full = self.settings, FILL[RULE] * self.settings.channel_limit / self.settings.channel_rate
-        spaced = s.message_window / s.messages_per_window if s.messages_per_window else 0
-        slack = s.drain_grace - s.transit_max - full * SECOND - spaced - TICK
-        return shut, back, any(self.now - self.endpoints[n].told >= slack for n in shut)
+        return (BALANCE, adds, live) if adds or live else (LEISURE, adds, gone)
 
     def publish(self) -> None:
         """Send what differs from the published state: rules, then failures, then balance, hottest first,
         as one message a proxy and as much as the channel has room for."""
+        back = [n for n, out in self.shut.items() if out and not self.barred(n)]
         if not self.channel.proxies or not (
-                self.dirty or self.greet or self.restate or self.wanted != self.level):
+                self.dirty or self.greet or self.restate or back or self.wanted != self.level):
             return
         lines: list[api.Action] = []
         room = [self.channel.room(self.now, urgency) for urgency in (RULE, FAILURE, BALANCE, LEISURE)]
+        if max(room) < 1:
+            return
         while self.restate and len(lines) < room[RULE]:
             lines.append(api.Withdraw(self.restate[-1], self.shut[self.restate.pop()]))
         if (self.greet or self.wanted != self.level) and room[FAILURE] > len(lines) + 2:
             self.greet, self.level = False, self.wanted
             lines += [api.Admit(None, (k,), level, RETRY) for k, level in enumerate(self.wanted)]
-        shut, back, pressing = self.withdrawals()
+        stale = {n: True for p in self.dirty.values() for n in p.lines if n not in p.homes}
+        # Exception: one line withdraws what the list bars, as two for each slice would miss the grace at 100
+        # proxies. Bare slices go first while time is left. Old lines leave later; only then is it let in.
+        shut = [n for n in stale if self.barred(n) and not self.shut.get(n)]
+        pressing = any(self.now - self.endpoints[n].told >= self.slack for n in shut)
         todo = sorted(((*self.orders(p), p) for p in self.dirty.values()),
                       key=lambda t: (t[0], -t[3].heat, t[3].number))
         bares = sum(len(adds) for urgency, adds, *_ in todo if urgency == RULE)
         flips = [api.Withdraw(n, True) for n in shut]
         if lines or flips or room[BALANCE] > 0:  # a return alone is not worth a message kept for rules
-            flips += [api.Withdraw(n, False) for n in back]
+            flips += [api.Withdraw(n, False) for n in back if n not in stale]
         if pressing or len(lines) + bares + len(flips) <= room[RULE]:
             lines += (flips := flips[:max(0, room[RULE] - len(lines))])
             self.shut.update((f.endpoint, f.out) for f in flips)
-            self.changed = self.changed or bool(flips)
+            self.changed |= bool(flips)
         self.landed, sole = True, self.settings.sole_owner  # an owner's new line takes the place of the old
         for urgency, adds, drops, piece in todo:
             if len(lines) + len(adds) + len(drops) <= room[urgency]:
                 lines += [api.SetLine(piece.number, n, 1.0) for n in adds]
                 lines += [api.SetLine(piece.number, n, 0.0) for n in drops]
                 kept = {n: w for n, w in piece.lines.items() if n not in drops and not sole}
-                piece.lines, piece.urgency = kept | dict.fromkeys(piece.homes, 1.0), BALANCE
+                piece.lines = kept | dict.fromkeys(piece.homes, 1.0)
                 if not piece.astray():
                     del self.dirty[piece.number]
             else:
                 self.landed = self.landed and urgency == LEISURE
         if lines:
             self.out += [*lines, self.channel.send(self.now, len(lines))]
+            if self.channel.flights[-1][1] > self.settings.channel_limit > self.over:
+                self.over = math.inf  # said once
+                self.out.append(api.Log("the channel's limit is below one message to all proxies"))
 
 
 class Search:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -484,7 +484,7 @@
 
 
 def test_a_planner_left_without_slices_lowers_no_level():
-    """ocitanja-vode rough-1 (zone_cut): with all slices taken away no demand was left, and all was refused."""
+    """ocitanja-vode rough-1 (zone_cut): with all slices gone there was no demand, and all was refused."""
     world = World()
     world.run(6)
     world.tell(*(api.CustodyChanged(n, False) for n in list(world.tables)))
