--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -117,7 +117,7 @@
             self.sent.popleft()
         allowed, spaced = MESSAGES[urgency] * s.messages_per_window, urgency != RULE
         if s.messages_per_window:  # evenly spaced: a burst would use up what later failures and levels need
-            spaced = spaced or 2 * len(self.sent) > allowed
+            spaced = spaced or 4 * len(self.sent) > allowed
             if len(self.sent) + 1 > allowed or (spaced and now - self.last < s.message_window / allowed):
                 return 0
         room = self.lines(urgency, sum(cost * len(waits) / most for _, cost, most, waits in self.flights))
@@ -468,7 +468,7 @@
         room = [self.channel.room(self.now, urgency) for urgency in (RULE, FAILURE, BALANCE, LEISURE)]
         if max(room) < 1:
             return
-        while self.restate and len(lines) < room[RULE]:
+        while self.restate and len(lines) < room[FAILURE]:
             lines.append(api.Withdraw(self.restate[-1], self.shut[self.restate.pop()]))
         if (self.greet or self.wanted != self.level) and room[FAILURE] > len(lines) + 2:
             self.greet, self.level = False, self.wanted
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -187,3 +187,15 @@
     world.run(10, rate=40)
     assert world.count("p") == 0 and not world.bare()
     assert sum("limit" in o.text for o in world.log if isinstance(o, api.Log)) == 1
+
+
+def test_a_controller_that_comes_back_keeps_messages_for_levels():
+    """Incident i745c52: for each proxy that joined all was told again, and no message was left for 7 s."""
+    world = World(slices=40, messages_per_window=12, proxies=0)
+    for proxy in range(12):
+        world.now += SECOND // 10
+        world.proxies.append(proxy)
+        world.tell(api.ProxyJoined(proxy, "a", 5.0, False))
+    assert sum(isinstance(o, api.Mark) for o in world.log) <= 6
+    world.run(6, latency=dict.fromkeys("pqrs", 900))
+    assert world.levels[None, 0] < 1.0
