--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -108,15 +108,16 @@
         self.flights: deque[tuple[int, float, int, dict[int, str]]] = deque()  # mark, cost, for, still to ack
         self.sent: deque[int] = deque()  # times of messages, for the window
         self.mark = self.last = 0
+        self.head = settings.message_overhead + 2  # lines of a message beside its orders
 
     def room(self, now: int, urgency: int) -> int:
         """Lines that a message may hold now; below 1: none."""
         s = self.settings
         while self.sent and self.sent[0] <= now - s.message_window:
             self.sent.popleft()
-        allowed, spaced = MESSAGES[urgency] * s.messages_per_window, urgency != RULE
         if s.messages_per_window:  # evenly spaced: a burst would use up what later failures and levels need
-            spaced = spaced or 4 * len(self.sent) > allowed
+            allowed = MESSAGES[urgency] * s.messages_per_window
+            spaced = urgency != RULE or 4 * len(self.sent) > allowed
             if len(self.sent) + 1 > allowed or (spaced and now - self.last < s.message_window / allowed):
                 return 0
         room = self.lines(urgency, sum(cost * len(waits) / most for _, cost, most, waits in self.flights))
@@ -126,12 +127,12 @@
 
     def lines(self, urgency: int, waiting: float) -> int:
         """Lines of a message to all proxies, with this much waiting. Each costs its head as well."""
-        s, proxies = self.settings, max(1, len(self.proxies))
-        return int((FILL[urgency] * s.channel_limit - waiting) / proxies - s.message_overhead - 2)
+        proxies = max(1, len(self.proxies))
+        return int((FILL[urgency] * self.settings.channel_limit - waiting) / proxies - self.head)
 
     def send(self, now: int, lines: int) -> api.Mark:
         self.mark = (self.mark + 1) % 65536
-        cost = len(self.proxies) * (self.settings.message_overhead + lines + 2)
+        cost = len(self.proxies) * (self.head + lines)
         self.flights.append((self.mark, cost, len(self.proxies), dict(self.proxies)))
         self.sent.append(now)
         self.last = now
@@ -306,7 +307,7 @@
         return load
 
     def evacuate(self) -> None:
-        """Exception: what the list or the reports rule out moves at once, past gate and cap."""
+        """Exception: what the list rules out, or a cold endpoint cannot hold, moves past gate and cap."""
         cap = self.usable()
         load = self.loads(cap)
         mean = self.part(sum(load.values()), sum(cap.values()))
@@ -452,8 +453,8 @@
         return (BALANCE, adds, live) if adds or live else (LEISURE, adds, gone)
 
     def publish(self) -> None:
-        """Send what differs from the published state: rules, then failures, then balance, hottest first,
-        as one message a proxy and as much as the channel has room for."""
+        """Send what differs from the published state: levels and rules, then balance, then old lines, hottest
+        first, as one message a proxy and as much as the channel has room for."""
         back = [n for n, out in self.shut.items() if out and not self.barred(n)]
         if not self.channel.proxies or not (
                 self.dirty or self.greet or self.restate or back or self.wanted != self.level):
@@ -471,10 +472,9 @@
         # Exception: one line withdraws what the list bars, as two for each slice would miss the grace at 100
         # proxies. It goes before all: the message after next is too late. Old lines leave the tables when
         # nothing else waits, and only then may an endpoint come back.
-        shut = [n for n in stale if self.barred(n) and not self.shut.get(n)]
+        flips = [api.Withdraw(n, True) for n in stale if self.barred(n) and not self.shut.get(n)]
         todo = sorted(((*self.orders(p), p) for p in self.dirty.values()),
                       key=lambda t: (t[0], -t[3].heat, t[3].number))
-        flips = [api.Withdraw(n, True) for n in shut]
         if lines or flips or room[BALANCE] > 0:  # a return alone is not worth a message kept for rules
             flips += [api.Withdraw(n, False) for n in back if n not in stale]
         lines += (flips := flips[:max(0, room[RULE] - len(lines))])
@@ -515,11 +515,12 @@
         for piece in planner.slices.values():
             for k, home in enumerate(piece.homes):
                 if home in place:
-                    self.on[place[home]].append(len(self.units))
-                    self.load[place[home]] += piece.heat / len(piece.homes)
+                    at, heat = place[home], piece.heat / len(piece.homes)
+                    self.on[at].append(len(self.units))
+                    self.load[at] += heat
                     self.units.append((piece, k))
-                    self.at.append(place[home])
-                    self.heat.append(piece.heat / len(piece.homes))
+                    self.at.append(at)
+                    self.heat.append(heat)
         self.start = list(self.at)
         self.warmest = [[place[n] for n, _ in sorted(p.warmth.items(), key=lambda i: -i[1]) if n in place]
                         for p, _ in self.units]
