Groundwork of the pilot: settings, published state, channel, roster, sums, store, xDS sessions

The program needs its pure parts first: each decides without I/O, so the daemon stays a thin shell. Nothing runs yet; the module and the adapter are untouched.

--- /dev/null
+++ b/damsonpick/settings/load.py
@@ -0,0 +1,144 @@
+"""Reads an INI file into `PilotSettings` and says everything that is wrong with it at once."""
+
+from __future__ import annotations
+
+import configparser
+from pathlib import Path
+from typing import NamedTuple
+
+from pydantic import ValidationError
+
+from damsonpick.settings import model
+
+SECTIONS = ("pilot", "listen", "tables", "rules", "channel", "reports", "list", "log")
+
+
+class Problem(NamedTuple):
+    """One thing wrong: where, what was written, and what to do."""
+
+    section: str
+    key: str
+    value: str
+    remedy: str
+
+    def __str__(self) -> str:
+        at = f"[{self.section}]" + (f" {self.key}" if self.key else "")
+        return f"{at} = {self.value!r}: {self.remedy}" if self.value else f"{at}: {self.remedy}"
+
+
+class SettingsError(Exception):
+    """All problems of one file."""
+
+    def __init__(self, path: Path, problems: list[Problem]) -> None:
+        self.path, self.problems = path, problems
+        super().__init__("\n".join(f"{path}: {p}" for p in problems))
+
+
+def parse(path: Path) -> configparser.ConfigParser:
+    """The file's sections, or one problem that names the line."""
+    parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=("#", ";"))
+    parser.optionxform = str
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(path, [Problem("file", "", "", f"cannot be read ({error}); give a text file "
+                                           "in UTF-8 that this user may read")]) from None
+    except configparser.Error as error:
+        text = " ".join(str(error).split())
+        raise SettingsError(path, [Problem("file", "", "", f"{text}; write [section] lines and key = value "
+                                           "lines, each name once")]) from None
+    return parser
+
+
+def read(path: Path) -> tuple[model.PilotSettings | None, list[Problem]]:
+    """Settings, or every problem found. Paths inside are taken from the file's own folder."""
+    try:
+        parser = parse(path)
+    except SettingsError as error:
+        return None, error.problems
+    problems: list[Problem] = []
+    raw: dict[str, object] = {"classes": {}}
+    for name in parser.sections():
+        if name in SECTIONS:
+            raw[name] = dict(parser[name])
+        elif name.startswith("class ") and name[6:].strip():
+            raw["classes"][name[6:].strip()] = dict(parser[name])
+        else:
+            problems.append(Problem(name, "", "", "is no section; the sections are "
+                                    + ", ".join(f"[{s}]" for s in SECTIONS) + " and [class NAME]"))
+    if not raw["classes"]:
+        problems.append(Problem("class NAME", "", "", "is missing; add a section for each class of request"))
+    try:
+        settings = model.PilotSettings.model_validate(raw)
+    except ValidationError as error:
+        return None, problems + [_problem(e, raw) for e in error.errors()]
+    problems += _across(settings)
+    if problems:
+        return None, problems
+    return _absolute(settings, path.resolve().parent), []
+
+
+def load(path: Path) -> model.PilotSettings:
+    """Settings.
+
+    Raises:
+        SettingsError: with every problem of the file, each with its section, key, value and remedy.
+    """
+    settings, problems = read(path)
+    if settings is None:
+        raise SettingsError(path, problems)
+    return settings
+
+
+def _problem(error: dict, raw: dict) -> Problem:
+    place = [str(part) for part in error["loc"]]
+    if place[0] == "classes":
+        place = [f"class {place[1]}", *place[2:]] if len(place) > 1 else ["class NAME"]
+    section, key = place[0], ".".join(place[1:])
+    value = error.get("input")
+    kind = error["type"]
+    if kind == "missing":
+        what = "is missing; add the section" if not key else "is missing; add the key, see docs/operators/running.md"
+        return Problem(section, key, "", what)
+    if kind == "extra_forbidden":
+        known = _keys(section)
+        return Problem(section, key, str(value), "is no key of this section; it has " + ", ".join(known))
+    text = error["msg"].removeprefix("Value error, ")
+    if not text.startswith(("is ", "has ", "names ")):
+        text = "is wrong: " + text[0].lower() + text[1:] + "; correct the value"
+    return Problem(section, key, "" if isinstance(value, dict) else str(value), text)
+
+
+def _keys(section: str) -> list[str]:
+    if section.startswith("class "):
+        return list(model.RequestClass.model_fields)
+    field = model.PilotSettings.model_fields.get(section)
+    return list(field.annotation.model_fields) if field else []
+
+
+def _across(s: model.PilotSettings) -> list[Problem]:
+    """What only shows when sections are read together."""
+    found = []
+    if s.pilot.zone not in s.pilot.zones:
+        found.append(Problem("pilot", "zone", s.pilot.zone, "is not among zones; add it there or correct it"))
+    if s.list.source == "file" and s.list.file is None:
+        found.append(Problem("list", "file", "", "is missing; name the file that lists the servers"))
+    if s.list.source == "eds" and s.list.upstream is None:
+        found.append(Problem("list", "upstream", "", "is missing; give the address of the upstream EDS server"))
+    for name, kind in s.classes.items():
+        if kind.deadline < kind.aim:
+            found.append(Problem(f"class {name}", "deadline", f"{kind.deadline} ns",
+                                 "is before the aim; give a deadline no earlier than the aim"))
+        if kind.effect == "idempotency_key" and not kind.key_window:
+            found.append(Problem(f"class {name}", "key_window", "", "is missing; a keyed class needs the time "
+                                 "for which servers remember a key"))
+    if s.rules.fall_multiple * s.rules.cold_share < 0.05:
+        found.append(Problem("rules", "cold_share", str(s.rules.cold_share), "times fall_multiple is under a "
+                             "twentieth of a server: no cold server could be given work; check both"))
+    return found
+
+
+def _absolute(s: model.PilotSettings, base: Path) -> model.PilotSettings:
+    pilot = s.pilot.model_copy(update={"state": base / s.pilot.state})
+    listed = s.list.model_copy(update={"file": base / s.list.file if s.list.file else None})
+    return s.model_copy(update={"pilot": pilot, "list": listed})
--- /dev/null
+++ b/damsonpick/settings/model.py
@@ -0,0 +1,138 @@
+"""What the pilot is told at its start, section by section. Facts of a deployment only: no tuned value."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from damsonpick import interface as api
+from damsonpick.settings.units import Address, Duration, Names
+
+
+class Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Pilot(Section):
+    """[pilot]: who this pilot is and where it keeps its state."""
+
+    name: str = Field("pilot-0", min_length=1)
+    zone: str
+    zones: Names
+    state: Path  # folder for the store and the control socket
+    seed: int = Field(1, ge=0)
+    clock_rate: float = Field(1.0, gt=0, le=100)  # seconds of the pilot's clock to one of the wall: rehearsals
+
+
+class Listen(Section):
+    """[listen]: where gateways find the pilot."""
+
+    xds: Address = "127.0.0.1:0"
+    largest_request: int = Field(1_048_576, ge=4096)  # bytes; a larger one ends its stream
+
+
+class Tables(Section):
+    """[tables]: how keys are cut and how gateways pick."""
+
+    slices: int = Field(ge=1, le=65_000)
+    pick: Literal["pair", "wheel", "lottery"] = "pair"
+    sole_owner: bool = False
+    admission: Literal["ratio", "none"] = "ratio"
+    try_aims: float = Field(1.2, gt=0)  # where another try may follow, a try waits this many times the aim
+    strikes: int = Field(5, ge=0)  # own failures in a row after which a gateway shuns a server; 0: never
+
+
+class Rules(Section):
+    """[rules]: the figures behind the five rules."""
+
+    drain_grace: Duration
+    bare_limit: Duration
+    cold_share: float = Field(gt=0, le=1)
+    cold_time: Duration
+    fall_multiple: float = Field(gt=1)
+    fall_time: Duration
+    write_linger: Duration = 20_000_000
+    write_lease: Duration = 800_000_000
+
+
+class Channel(Section):
+    """[channel]: what the way to the gateways carries. lines_per_second = 0: unbudgeted."""
+
+    lines_per_second: float = Field(ge=0)
+    limit: float = Field(gt=0)
+    head: float = Field(8, ge=0)
+    messages: int = Field(0, ge=0)  # to one gateway within `window`; 0: unlimited
+    window: Duration = 10_000_000_000
+    transit_most: Duration = 500_000_000
+
+
+class Reports(Section):
+    """[reports]: sums from the gateways."""
+
+    every: Duration = 1_000_000_000
+    oldest: Duration = 15_000_000_000  # a sum that covers more, or comes later, is dropped
+
+
+class ListSource(Section):
+    """[list]: where the server list comes from."""
+
+    source: Literal["file", "eds"]
+    file: Path | None = None
+    upstream: Address | None = None
+    cluster: str = "servers"
+    poll: Duration = 200_000_000
+
+
+class Logs(Section):
+    """[log]: structured logs on standard error."""
+
+    format: Literal["console", "json"] = "console"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class RequestClass(Section):
+    """[class NAME]: one kind of request and what it is worth."""
+
+    aim: Duration
+    deadline: Duration
+    worth: float = Field(1.0, gt=0)
+    effect: Literal["read_like", "idempotency_key", "non_idempotent"] = "read_like"
+    key_scope: Literal["all", "zone", "cell"] = "all"
+    key_window: Duration = 0
+    writes: bool = False
+
+
+class PilotSettings(Section):
+    pilot: Pilot
+    listen: Listen = Listen()
+    tables: Tables
+    rules: Rules
+    channel: Channel
+    reports: Reports = Reports()
+    list: ListSource
+    log: Logs = Logs()
+    classes: dict[str, RequestClass]
+
+    def store_path(self) -> Path:
+        return self.pilot.state / "tables.db"
+
+    def control_path(self) -> Path:
+        return self.pilot.state / "control.sock"
+
+    def planner(self, instances: int = 1, instance: int = 0, proxies: int = 0) -> api.Settings:
+        """The module's own settings. An unbudgeted channel is handed over as one that never fills."""
+        c, r = self.channel, self.rules
+        wide = c.lines_per_second == 0
+        return api.Settings(
+            instance=instance, instances=instances, zone=self.pilot.zone,
+            classes=tuple(api.RequestClass(n, k.aim, k.deadline, k.effect, k.key_scope, k.key_window, k.worth)
+                          for n, k in self.classes.items()),
+            slices=self.tables.slices, proxies=proxies, sole_owner=self.tables.sole_owner,
+            admission=self.tables.admission, subscribe=False, ask_every=0,
+            channel_rate=1e12 if wide else c.lines_per_second, channel_limit=1e12 if wide else c.limit,
+            message_overhead=c.head, messages_per_window=c.messages, message_window=c.window,
+            transit_max=c.transit_most, report_period=self.reports.every, drain_grace=r.drain_grace,
+            cold_share=r.cold_share, cold_time=r.cold_time, write_linger=r.write_linger,
+            write_lease=r.write_lease, load_fields=(), pick=self.tables.pick)
--- /dev/null
+++ b/damsonpick/store/sqlite.py
@@ -0,0 +1,149 @@
+"""The embedded store: SQLite in WAL mode, one writer, one transaction an order.
+
+A process killed at any point leaves the last whole transaction (SQLite's own guarantee in WAL mode). With
+`synchronous = NORMAL` a power cut may lose the newest transactions but never tears one; gateways then hold
+newer tables than the store, which their content hashes show at the next stream, and they are put right.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+
+from damsonpick import interface as api
+from damsonpick.store.custody import Charge
+
+VERSION = 1
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS about (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS slices (slice INTEGER PRIMARY KEY, owner TEXT NOT NULL DEFAULT '',
+    until INTEGER NOT NULL DEFAULT 0, term INTEGER NOT NULL DEFAULT 0);
+CREATE TABLE IF NOT EXISTS lines (slice INTEGER NOT NULL, endpoint TEXT NOT NULL, weight REAL NOT NULL,
+    PRIMARY KEY (slice, endpoint)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS gateways (number INTEGER PRIMARY KEY, node TEXT NOT NULL UNIQUE);
+CREATE TABLE IF NOT EXISTS listed (endpoint TEXT PRIMARY KEY, zone TEXT NOT NULL, state TEXT NOT NULL,
+    weight REAL NOT NULL, started INTEGER NOT NULL) WITHOUT ROWID;
+"""
+
+
+class StoreError(Exception):
+    """The store cannot be used; the text names the file and the remedy."""
+
+
+class Store:
+    """Tables, custody, gateway numbers and the list, in one file."""
+
+    def __init__(self, path: Path, slices: int) -> None:
+        self.path, self.slices = path, slices
+        try:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=2.0)
+            self.db.execute("PRAGMA journal_mode = WAL")
+            self.db.execute("PRAGMA synchronous = NORMAL")
+            if self.db.execute("PRAGMA quick_check").fetchone()[0] != "ok":
+                raise sqlite3.DatabaseError("the check of its pages failed")
+            self.db.executescript(SCHEMA)
+            self._settle()
+        except (sqlite3.Error, OSError) as error:
+            raise StoreError(f"{path}: the store cannot be opened ({error}); check folder, rights and space, or "
+                             "move the file away to start with empty tables") from None
+
+    def _settle(self) -> None:
+        """Check version and number of slices; make the slices' rows at the first start."""
+        about = dict(self.db.execute("SELECT key, value FROM about"))
+        for key, ours in (("version", VERSION), ("slices", self.slices)):
+            if key in about and int(about[key]) != ours:
+                raise StoreError(f"{self.path}: the store was written with {key} {about[key]}, the settings say "
+                                 f"{ours}; keep the setting, or move the file away to start anew")
+        with self.transaction():
+            self.db.executemany("INSERT OR IGNORE INTO about VALUES (?, ?)",
+                                [("version", str(VERSION)), ("slices", str(self.slices))])
+            self.db.executemany("INSERT OR IGNORE INTO slices (slice) VALUES (?)",
+                                [(n,) for n in range(self.slices)])
+
+    def transaction(self) -> _Transaction:
+        return _Transaction(self.db)
+
+    def epoch(self) -> int:
+        """A number that grows with each start on this store."""
+        with self.transaction():
+            row = self.db.execute("SELECT value FROM about WHERE key = 'epoch'").fetchone()
+            number = int(row[0]) + 1 if row else 1
+            self.db.execute("INSERT OR REPLACE INTO about VALUES ('epoch', ?)", (str(number),))
+        return number
+
+    # -- tables
+
+    def tables(self) -> dict[int, dict[str, float]]:
+        result: dict[int, dict[str, float]] = {n: {} for n in range(self.slices)}
+        for number, endpoint, weight in self.db.execute("SELECT slice, endpoint, weight FROM lines"):
+            result[number][endpoint] = weight
+        return result
+
+    def write(self, tables: Mapping[int, Mapping[str, float]]) -> None:
+        """Replace the lines of some slices, all in one transaction."""
+        with self.transaction():
+            for number, lines in tables.items():
+                self.db.execute("DELETE FROM lines WHERE slice = ?", (number,))
+                self.db.executemany("INSERT INTO lines VALUES (?, ?, ?)",
+                                    [(number, name, weight) for name, weight in lines.items()])
+
+    # -- custody (see custody.Custody)
+
+    def claim(self, owner: str, now: int, lease: int) -> list[Charge]:
+        with self.transaction():
+            self.db.execute("UPDATE slices SET owner = ?, until = ?, term = term + 1 "
+                            "WHERE owner != ? AND (owner = '' OR until <= ?)", (owner, now + lease, owner, now))
+            self.db.execute("UPDATE slices SET until = ? WHERE owner = ?", (now + lease, owner))
+        return self._charges(owner)
+
+    def renew(self, owner: str, now: int, lease: int) -> list[Charge]:
+        with self.transaction():
+            self.db.execute("UPDATE slices SET until = ? WHERE owner = ?", (now + lease, owner))
+        return self._charges(owner)
+
+    def release(self, owner: str) -> None:
+        with self.transaction():
+            self.db.execute("UPDATE slices SET owner = '', until = 0 WHERE owner = ?", (owner,))
+
+    def _charges(self, owner: str) -> list[Charge]:
+        rows = self.db.execute("SELECT slice, owner, term FROM slices WHERE owner = ? ORDER BY slice", (owner,))
+        return [Charge(*row) for row in rows]
+
+    # -- gateways and list
+
+    def gateway(self, node: str) -> int:
+        """The number of a node id, the same in every life of the pilot."""
+        row = self.db.execute("SELECT number FROM gateways WHERE node = ?", (node,)).fetchone()
+        if row:
+            return row[0]
+        with self.transaction():
+            last = self.db.execute("SELECT COALESCE(MAX(number), -1) FROM gateways").fetchone()[0]
+            self.db.execute("INSERT INTO gateways VALUES (?, ?)", (last + 1, node))
+        return last + 1
+
+    def listed(self) -> list[api.ListEntry]:
+        return [api.ListEntry(*row) for row in
+                self.db.execute("SELECT endpoint, zone, state, weight, started FROM listed")]
+
+    def keep_list(self, entries: Iterable[api.ListEntry]) -> None:
+        with self.transaction():
+            self.db.execute("DELETE FROM listed")
+            self.db.executemany("INSERT INTO listed VALUES (?, ?, ?, ?, ?)", list(entries))
+
+    def close(self) -> None:
+        self.db.close()
+
+
+class _Transaction:
+    """BEGIN IMMEDIATE to COMMIT, or ROLLBACK on an error."""
+
+    def __init__(self, db: sqlite3.Connection) -> None:
+        self.db = db
+
+    def __enter__(self) -> None:
+        self.db.execute("BEGIN IMMEDIATE")
+
+    def __exit__(self, kind: object, error: object, trace: object) -> None:
+        self.db.execute("ROLLBACK" if kind else "COMMIT")
--- /dev/null
+++ b/damsonpick/tables/__init__.py
@@ -0,0 +1,1 @@
+"""What is published: tables, levels, retry modes and withdrawals, as orders change them."""
--- /dev/null
+++ b/damsonpick/xds/__init__.py
@@ -0,0 +1,1 @@
+"""The xDS front: resources, streams, load reports. The mapping is in docs/design/xds.md."""
