A pilot that runs: engine, ADS and LRS server, list sources, control socket, commands

The users want to run the program. The daemon feeds the module and publishes what it decides over both ADS variants; run, check, status and tables work against a watched list file.

--- /dev/null
+++ b/damsonpick/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m damsonpick`: the command line."""
+
+from damsonpick.cli.main import main
+
+main()
--- /dev/null
+++ b/damsonpick/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/damsonpick/cli/main.py
@@ -0,0 +1,170 @@
+"""`damsonpick`: the operators' commands. Exit codes: 0 done, 1 not as it should be, 2 wrong input, 3 no pilot."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import anyio
+import click
+
+from damsonpick.daemon import control
+
+WRONG, NO_PILOT = 2, 3
+settings_file = click.argument("file", type=click.Path(path_type=Path))
+as_json = click.option("--json", "as_json", is_flag=True, help="Print one JSON object for scripts.")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Publishes tables of servers, weights and levels to plain proxies over xDS.
+
+    Start with `damsonpick check FILE`, then `damsonpick run FILE`; ask the running pilot with
+    `damsonpick status FILE`. `damsonpick badday examples/*.ini` rehearses a bad day on this machine.
+
+    Exit codes: 0 done; 1 the answer is no (a rule was broken); 2 wrong input; 3 no pilot answers.
+    """
+
+
+def _load(file: Path) -> Any:
+    from damsonpick.settings import SettingsError, load
+
+    try:
+        return load(file)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(WRONG)
+
+
+@main.command()
+@settings_file
+@as_json
+def check(file: Path, as_json: bool) -> None:
+    """Read FILE whole and list everything that is wrong with it.
+
+    Each line names file, section, key, value and remedy. Exit code 0: the pilot would start on it; 2: not.
+    """
+    from damsonpick.settings import read
+
+    _, problems = read(file)
+    if as_json:
+        click.echo(json.dumps({"file": str(file), "problems": [p._asdict() for p in problems]}))
+    else:
+        for problem in problems:
+            click.echo(f"{file}: {problem}")
+        if not problems:
+            click.echo(f"{file}: in order")
+    sys.exit(WRONG if problems else 0)
+
+
+@main.command()
+@settings_file
+@click.option("--port-file", type=click.Path(path_type=Path), help="Write the xDS port here once it is open.")
+def run(file: Path, port_file: Path | None) -> None:
+    """Run the pilot that FILE describes until SIGTERM or SIGINT.
+
+    Logs go to standard error. Exit code 0: ended in order; 2: settings, store or address cannot be used.
+    """
+    serve(_load(file), port_file)
+
+
+def serve(settings: Any, port_file: Path | None, **parts: Any) -> None:
+    """Run a pilot in the foreground; `parts` go to Pilot as they are."""
+    from damsonpick.daemon.logs import configure
+    from damsonpick.daemon.pilot import Pilot
+    from damsonpick.store.sqlite import StoreError
+
+    log = configure(settings.log.format, settings.log.level)
+
+    async def life() -> None:
+        pilot = Pilot(settings, log, **parts)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with pilot.running():
+                if port_file:
+                    part = port_file.with_suffix(".part")
+                    part.write_text(f"{pilot.port}\n")
+                    part.replace(port_file)
+                async for _ in signals:
+                    break
+
+    try:
+        anyio.run(life)
+    except StoreError as error:
+        click.echo(str(error), err=True)
+        sys.exit(WRONG)
+    except (RuntimeError, OSError) as error:
+        click.echo(f"[listen] xds = {settings.listen.xds}: cannot be opened ({error}); free the port or "
+                   "choose another", err=True)
+        sys.exit(WRONG)
+
+
+def _ask(file: Path, request: dict[str, Any]) -> dict[str, Any]:
+    settings = _load(file)
+    try:
+        reply = anyio.run(control.ask, settings.control_path(), request)
+    except control.ControlError as error:
+        click.echo(str(error), err=True)
+        sys.exit(NO_PILOT)
+    if "error" in reply:
+        click.echo(reply["error"], err=True)
+        sys.exit(WRONG)
+    return reply
+
+
+def _rows(titles: list[str], rows: list[list[object]]) -> None:
+    cells = [titles, *[[str(c) for c in row] for row in rows]]
+    widths = [max(len(row[k]) for row in cells) for k in range(len(titles))]
+    for row in cells:
+        click.echo("  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip())
+
+
+@main.command()
+@settings_file
+@as_json
+def status(file: Path, as_json: bool) -> None:
+    """What each gateway holds, what waits, and how each server is judged and why.
+
+    `behind` is how many changes a gateway has not acknowledged. Exit code 3: no pilot answers.
+    """
+    reply = _ask(file, {"ask": "status"})
+    if as_json:
+        click.echo(json.dumps(reply))
+        return
+    channel = reply["channel"]
+    click.echo(f"{reply['pilot']}: start {reply['epoch']}, port {reply['port']}, change {reply['published']}, "
+               f"{reply['slices']} slices, module {reply['module']}, list: {reply['list']}")
+    click.echo("let in: " + ", ".join(f"{k} {v:.0%}" for k, v in reply["levels"].items())
+               + f"; waiting lines {channel['waiting']:g} of {channel['limit']:g} (most so far {channel['most']:g})")
+    click.echo()
+    _rows(["gateway", "zone", "variant", "acknowledged", "behind", "waiting", "rejected"],
+          [[g["gateway"], g["zone"], g["variant"], g["acknowledged"], g["published"] - g["acknowledged"],
+            f"{g['waiting_lines']} lines, {g['waiting_s']} s",
+            "; ".join(f"{n}: {w}" for n, w in g["rejected"].items()) or "-"] for g in reply["gateways"]])
+    click.echo()
+    _rows(["server", "state", "lines", "weight", "speed", "why"],
+          [[e["endpoint"], e["state"], e["lines"], f"{e['weight']:g}", e["speed"], e["why"]]
+           for e in reply["endpoints"]])
+
+
+@main.command()
+@settings_file
+@click.argument("slices", nargs=-1, type=int)
+@as_json
+def tables(file: Path, slices: tuple[int, ...], as_json: bool) -> None:
+    """The published tables, all or those of the SLICES named; `*` marks a withdrawn server."""
+    reply = _ask(file, {"ask": "tables", "slices": list(slices) or None})
+    if as_json:
+        click.echo(json.dumps(reply))
+        return
+    out = set(reply["withdrawn"])
+    _rows(["slice", "version", "change", "servers"],
+          [[t["slice"], t["version"], t["changed"],
+            ", ".join(f"{n} {w:g}{'*' if n in out else ''}" for n, w in sorted(t["lines"].items())) or "none"]
+           for t in reply["tables"]])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/damsonpick/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The running pilot: every part put together under one task group."""
--- /dev/null
+++ b/damsonpick/daemon/pilot.py
@@ -0,0 +1,213 @@
+"""The daemon: sockets and timers round the engine. Every decision is the module's or a sans-I/O part's."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from damsonpick import interface as api
+from damsonpick.channel.queue import Channel
+from damsonpick.choice import Planner
+from damsonpick.daemon import control
+from damsonpick.engine.clock import Clock
+from damsonpick.engine.core import Engine
+from damsonpick.evidence.sums import Evidence, GatewaySums
+from damsonpick.roster.judge import Roster
+from damsonpick.roster.listfile import FileSource, ListError
+from damsonpick.roster.redial import Redial
+from damsonpick.roster.upstream import UpstreamSource
+from damsonpick.settings.model import PilotSettings
+from damsonpick.store.sqlite import Store
+from damsonpick.tables.published import Published
+from damsonpick.xds.hub import Hub
+from damsonpick.xds.resources import Catalogue
+from damsonpick.xds.server import XdsServer
+
+SECOND = 1_000_000_000
+RENEW = 2 * SECOND  # ns between looks at custody
+
+
+class Pilot:
+    """One pilot, from settings to open sockets.
+
+    Args:
+        settings: checked settings.
+        log: a structlog logger.
+        make: how a planner is made; tests hand in ones that fail.
+    """
+
+    def __init__(self, settings: PilotSettings, log: Any,
+                 make: Callable[[api.Settings, int], Planner] = Planner) -> None:
+        s = self.settings = settings
+        self.log = log
+        self.clock = Clock(s.pilot.clock_rate)
+        self.store = Store(s.store_path(), s.tables.slices)
+        self.epoch = self.store.epoch()
+        self.published = Published(tuple(s.classes), s.tables.slices)
+        self.roster = Roster(s.pilot.zones)
+        c = s.channel
+        self.channel = Channel(c.lines_per_second, c.head, c.limit, c.messages, c.window)
+        self.catalogue = Catalogue(self.published, s, self._zone_of)
+        self.hub = Hub(self.published, self.catalogue, self.channel, self.store.gateway)
+        self.engine = Engine(s, self.store, self.published, self.hub, self.roster, log, make)
+        self.evidence = Evidence(tuple(s.classes), s.tables.slices, s.reports.every, s.reports.oldest)
+        self.bell = anyio.Event()
+        self.xds = XdsServer(self.hub, self.epoch, self.clock.now, self.stir, self._hear, s.reports.every, log)
+        self.port = 0
+        self.list_said = "nothing yet"
+
+    def _zone_of(self, endpoint: str) -> str:
+        entry = self.roster.entries.get(endpoint)
+        return entry.zone if entry else ""
+
+    def stir(self) -> None:
+        """Something happened that the engine should look at."""
+        self.bell.set()
+
+    # -- life
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[TaskGroup]:
+        """The pilot serves while the block runs, and ends in order after it."""
+        self.engine.start(self.clock.now())
+        self.evidence.known = set(self.roster.entries)
+        server, self.port = await self.xds.start(self.settings.listen.xds, self.settings.listen.largest_request)
+        self.log.info("pilot_started", name=self.settings.pilot.name, port=self.port, epoch=self.epoch,
+                      slices=len(self.engine.owned), listed=len(self.roster.entries))
+        try:
+            async with anyio.create_task_group() as group:
+                await group.start(self._control)
+                group.start_soon(self._list)
+                group.start_soon(self._reports)
+                group.start_soon(self._custody)
+                group.start_soon(self._drive)
+                yield group
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await server.stop(0.2)
+            self.store.close()
+            self.log.info("pilot_ended", name=self.settings.pilot.name)
+
+    async def _control(self, *, task_status: Any) -> None:
+        await control.serve(self.settings.control_path(), self.answer, task_status.started)
+
+    async def _drive(self) -> None:
+        """The one loop that steps the engine and lets the channel flow."""
+        while True:
+            now = self.clock.now()
+            self.bell = anyio.Event()
+            touched = self.engine.step(now)
+            stirred, pause = self.hub.pump(now)
+            for session in touched:
+                self.hub.settle(now, session)
+            self.xds.ring(stirred)
+            if self.hub.events or self.engine.inbox:
+                await anyio.lowlevel.checkpoint()
+                continue
+            due = self.engine.due()
+            waits = [w for w in (pause, None if due is None else due - now) if w is not None]
+            with anyio.move_on_after(max(0.001, self.clock.seconds(min(waits))) if waits else None):
+                await self.bell.wait()
+
+    async def _list(self) -> None:
+        s = self.settings.list
+        if s.source == "file":
+            source = FileSource(s.file, self.clock.seconds(s.poll))
+        else:
+            redial = Redial(random.Random(self.settings.pilot.seed))
+            source = UpstreamSource(s.upstream, s.cluster, self.settings.pilot.name, redial)
+        async for said in source.lists():
+            self._listed(said)
+
+    def _listed(self, said: list[api.ListEntry] | ListError) -> None:
+        """A list, or why there is none; the module hears of both."""
+        if isinstance(said, ListError):
+            if self.list_said != str(said):
+                self.log.warning("list_failed", why=str(said), kept=len(self.roster.entries))
+            self.list_said = str(said)
+            self.engine.tell(self.roster.failed())
+        else:
+            verdict = self.roster.take(self.clock.now(), said)
+            for doubt in verdict.doubts:
+                self.log.warning("list_doubted", what=doubt)
+            self.list_said = f"{len(said)} servers"
+            if verdict.event is not None:
+                self._known(verdict.event)
+                self.engine.tell(verdict.event)
+        self.stir()
+
+    def _known(self, event: api.ListChanged) -> None:
+        self.evidence.known.update(e.endpoint for e in event.entries)
+        if event.kind == "replace":
+            states: dict[str, int] = {}
+            for entry in event.entries:
+                states[entry.state] = states.get(entry.state, 0) + 1
+            self.log.info("listed", **states)
+            try:
+                self.store.keep_list(event.entries)
+            except Exception as error:
+                self.log.error("list_not_kept", error=str(error), remedy="free space or rights on the state folder")
+
+    def _hear(self, sums: GatewaySums) -> None:
+        now = self.clock.now()
+        self.evidence.join(now, sums.gateway)
+        for doubt in self.evidence.hear(now, sums)[:3]:
+            self.log.info("sum_doubted", gateway=sums.gateway, what=doubt)
+
+    async def _reports(self) -> None:
+        while True:
+            await anyio.sleep(self.clock.seconds(self.settings.reports.every))
+            events = self.evidence.flush()
+            if events:
+                self.engine.tell(*events)
+                self.stir()
+
+    async def _custody(self) -> None:
+        while True:
+            await anyio.sleep(self.clock.seconds(RENEW))
+            try:
+                self.engine.renew(self.clock.now())
+            except Exception as error:
+                self.log.error("custody_not_renewed", error=str(error), remedy="see the state folder's space and rights")
+            self.stir()
+
+    # -- questions
+
+    def answer(self, request: dict[str, Any]) -> dict[str, Any]:
+        """What `status` and `tables` ask."""
+        what = request.get("ask")
+        if what == "status":
+            return self._status()
+        if what == "tables":
+            return self._tables(request.get("slices"))
+        return {"error": f"unknown question {what!r}; ask status or tables"}
+
+    def _status(self) -> dict[str, Any]:
+        now = self.clock.now()
+        classes = self.published.classes
+        return {
+            "pilot": self.settings.pilot.name, "epoch": self.epoch, "port": self.port, "published": self.published.seq,
+            "module": "running" if self.engine.planner else "being started over", "list": self.list_said,
+            "failures": self.engine.failures, "slices": len(self.engine.owned), "unsaved": len(self.engine.unsaved),
+            "levels": {name: self.published.level(None, k) for k, name in enumerate(classes)},
+            "channel": {"waiting": self.channel.waiting(), "most": self.channel.most, "limit": self.channel.limit},
+            "gateways": list(self.hub.view(now)), "endpoints": self.engine.view(),
+        }
+
+    def _tables(self, numbers: list[int] | None) -> dict[str, Any]:
+        chosen = range(self.published.slices) if numbers is None else numbers
+        rows = []
+        for n in chosen:
+            if n not in self.published.tables:
+                raise ValueError(f"slice {n}: there are {self.published.slices}, from 0")
+            resource = self.catalogue.get("type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+                                          f"slice/{n}")
+            rows.append({"slice": n, "version": resource.version, "changed": self.published.changed[f"slice/{n}"],
+                         "lines": self.published.tables[n], "open": self.published.open_lines(n)})
+        return {"tables": rows, "withdrawn": sorted(self.published.withdrawn)}
--- /dev/null
+++ b/damsonpick/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The loop round the module: one clock, one writer."""
--- /dev/null
+++ b/damsonpick/engine/core.py
@@ -0,0 +1,219 @@
+"""Feeds the module what happens and carries out what it decides. No sockets; the store is the one thing written.
+
+The engine is the only caller of `Planner.handle` and the only writer of the published state. An exception
+in the module keeps the last tables in service: they stay published, the events that led to it are logged,
+and a new planner is started from the store, at once the first time and within a second ever after.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+from damsonpick import interface as api
+from damsonpick.choice import Planner
+from damsonpick.engine import explain
+from damsonpick.engine.clock import Steady
+from damsonpick.roster.judge import Roster
+from damsonpick.settings.model import PilotSettings
+from damsonpick.store.sqlite import Store
+from damsonpick.tables.published import Published
+from damsonpick.xds.hub import Hub
+from damsonpick.xds.session import Session
+
+SECOND = 1_000_000_000
+RESTART_FIRST, RESTART_MOST = SECOND // 10, 9 * SECOND // 10  # ns before another planner is tried
+CALM = 30 * SECOND  # ns without a failure after which the next counts as the first
+LOGGED_EVENTS = 200  # of a failed call
+
+
+class Engine:
+    """One pilot's loop body.
+
+    Args:
+        settings: the pilot's settings.
+        store, published, hub, roster: what it works on.
+        log: a structlog logger.
+        make: how a planner is made; tests hand in ones that fail.
+    """
+
+    def __init__(self, settings: PilotSettings, store: Store, published: Published, hub: Hub, roster: Roster,
+                 log: Any, make: Callable[[api.Settings, int], Planner] = Planner) -> None:
+        self.settings, self.store, self.published, self.hub = settings, store, published, hub
+        self.roster, self.log, self.make = roster, log, make
+        self.owner = settings.pilot.name
+        self.inbox: list[api.Event] = []
+        self.timers: list[tuple[int, int]] = []
+        self.clock = Steady()
+        self.planner: Planner | None = None
+        self.failures = self.failed_at = self.restart_at = 0
+        self.owned: set[int] = set()
+        self.unsaved: set[int] = set()  # slices whose tables the store does not hold yet
+        self.save_at = 0
+        self.list_wanted = False
+        self.told: dict[str, str] = {}  # endpoint: state as last logged
+        self.levels: tuple[float, ...] = ()
+
+    # -- life
+
+    def start(self, now: int) -> None:
+        """Take what the store holds and start the module on it."""
+        now = self.clock.take(now)
+        for number, lines in self.store.tables().items():
+            self.published.restore(number, lines)
+        self.hub.catalogue.refresh(self.published.units())
+        self.roster.restore(self.store.listed())
+        self.owned = {charge.slice for charge in self.store.claim(self.owner, now, self.lease())}
+        self._begin(now)
+
+    def lease(self) -> int:
+        """ns for which a slice stays ours unrenewed: longer than a restart takes, so nobody else need move it."""
+        return 10 * SECOND
+
+    def _begin(self, now: int) -> None:
+        """A new planner, told the list, the tables and who is joined."""
+        seed = self.settings.pilot.seed * 1000 + self.failures
+        self.planner = self.make(self.settings.planner(), seed)
+        self.timers.clear()
+        kept = tuple(self.roster.entries.values())
+        events: list[api.Event] = [api.ListChanged("restored", kept)]
+        if self.roster.fresh:
+            events.append(api.ListChanged("replace", kept))
+        for number in sorted(self.owned):
+            events.append(api.CustodyChanged(number, True))
+            events += [api.StoredLine(number, name, weight)
+                       for name, weight in self.published.tables[number].items()]
+        if self.failures:  # they hold withdrawals of the planner that failed
+            events += [api.ProxyJoined(m.number, m.session.zone, 0.0, False) for m in self.hub.members.values()]
+        self.hub.events = [e for e in self.hub.events if not isinstance(e, api.Applied)] if not self.failures else []
+        self.inbox = events
+
+    def tell(self, *events: api.Event) -> None:
+        """Events for the next step, in order."""
+        self.inbox.extend(events)
+
+    def renew(self, now: int) -> None:
+        """Keep custody; a slice lost to another pilot is given up, one won is taken over."""
+        have = {charge.slice for charge in self.store.claim(self.owner, self.clock.take(now), self.lease())}
+        for number in sorted(self.owned - have):
+            self.tell(api.CustodyChanged(number, False))
+        if have - self.owned:
+            stored = self.store.tables()
+            for number in sorted(have - self.owned):
+                self.published.restore(number, stored[number])
+                self.tell(api.CustodyChanged(number, True),
+                          *(api.StoredLine(number, n, w) for n, w in stored[number].items()))
+        self.owned = have
+
+    # -- one step
+
+    def due(self) -> int | None:
+        """When the next step must be, ns; None: only when something happens."""
+        times = [self.timers[0][0]] if self.timers else []
+        if self.planner is None:
+            times = [self.restart_at]
+        if self.unsaved:
+            times.append(self.save_at)
+        return min(times, default=None)
+
+    def step(self, now: int) -> list[Session]:
+        """Hand over what happened, carry out what is decided; returns streams that may answer for marks."""
+        now = self.clock.take(now)
+        if self.unsaved and now >= self.save_at:
+            self._save(now, {})
+        if self.planner is None:
+            if now < self.restart_at:
+                return []
+            self._begin(now)
+        events, self.inbox = self.inbox, []
+        events += self.hub.events
+        self.hub.events = []
+        while self.timers and self.timers[0][0] <= now:
+            events.append(api.TimerFired(heapq.heappop(self.timers)[1]))
+        if not events:
+            return []
+        try:
+            actions = self.planner.handle(now, events)
+        except Exception as error:
+            self._failed(now, events, error)
+            return []
+        return self._carry_out(now, actions)
+
+    def _failed(self, now: int, events: list[api.Event], error: Exception) -> None:
+        self.failures = self.failures + 1 if now - self.failed_at < CALM else 1
+        self.failed_at = now
+        wait = 0 if self.failures == 1 else min(RESTART_MOST, RESTART_FIRST * 2 ** min(self.failures, 8))
+        self.planner, self.restart_at = None, now + wait
+        self.log.error("module_failed", error=repr(error), restart_in_ms=wait // 1_000_000, failures=self.failures,
+                       tables="the last ones stay in service", exc_info=error,
+                       events=[repr(e) for e in events[-LOGGED_EVENTS:]])
+
+    def _carry_out(self, now: int, actions: list[api.Action]) -> list[Session]:
+        table_orders = []
+        for action in actions:
+            if isinstance(action, api.SetTimer):
+                heapq.heappush(self.timers, (now + max(1, action.delay), action.token))
+            elif isinstance(action, api.Log):
+                self.log.info("module", text=action.text)
+            elif isinstance(action, api.Subscribe | api.FetchList):
+                self.list_wanted = True
+            elif isinstance(action, api.SetLine | api.ClearTable) and action.table not in self.owned:
+                continue  # not ours any more: the order came too late
+            elif isinstance(action, api.SetLine | api.ClearTable | api.Withdraw | api.Admit | api.Mark):
+                table_orders.append(action)
+        if not table_orders:
+            return []
+        change = self.published.apply(table_orders)
+        touched = {o.table for o in table_orders if isinstance(o, api.SetLine | api.ClearTable)}
+        self._save(now, {n: self.published.tables[n] for n in touched})
+        self._say(now, table_orders, change.cost())
+        return self.hub.publish(now, change)
+
+    def _save(self, now: int, tables: dict[int, dict[str, float]]) -> None:
+        """The store before the wire. One that cannot be written is said loudly; service goes on from memory."""
+        both = {n: self.published.tables[n] for n in self.unsaved} | tables
+        if not both:
+            return
+        try:
+            self.store.write(both)
+            if self.unsaved:
+                self.log.info("store_caught_up", slices=len(both))
+            self.unsaved.clear()
+        except Exception as error:
+            self.unsaved |= set(both)
+            self.save_at = now + SECOND
+            self.log.error("store_not_written", error=str(error), slices=len(self.unsaved),
+                           remedy="free space or rights on the state folder; orders keep flowing meanwhile")
+
+    # -- words
+
+    def _say(self, now: int, orders: list[api.Action], lines: int) -> None:
+        """One log event a decision that matters."""
+        planner = self.planner
+        for order in orders:
+            if isinstance(order, api.Withdraw) and order.out != (self.told.get(order.endpoint) == "out"):
+                self.told[order.endpoint] = "out" if order.out else "in"
+                self.log.info("withdrawn" if order.out else "let_in", endpoint=order.endpoint,
+                              why=explain.reason(planner, order.endpoint))
+        if planner.level != self.levels:
+            self.levels = planner.level
+            self.log.info("levels", let_in=dict(zip(self.published.classes, planner.level, strict=True)),
+                          why="all that comes fits" if planner.admitted >= 1 else
+                          f"answers are late: {planner.allow:.0f} answers/s allowed of what comes")
+        moved: dict[int, dict[str, list[str]]] = {}
+        for order in orders:
+            if isinstance(order, api.SetLine):
+                side = moved.setdefault(order.table, {"to": [], "from": []})
+                side["to" if order.weight > 0 else "from"].append(order.endpoint)
+        if moved:
+            why: dict[str, int] = {}
+            for sides in moved.values():
+                away = any(n in planner.endpoints and planner.barred(n) for n in sides["from"])
+                cause = "off barred" if away else "balance" if sides["from"] else "new line"
+                why[cause] = why.get(cause, 0) + 1
+            self.log.info("tables", slices=len(moved), lines=lines, why=why, number=self.published.seq)
+
+    def view(self) -> list[dict[str, object]]:
+        """Endpoints as the module sees them; empty while it is being started over."""
+        return list(explain.endpoints(self.planner, self.published)) if self.planner else []
--- /dev/null
+++ b/damsonpick/engine/explain.py
@@ -0,0 +1,42 @@
+"""Why an endpoint is treated as it is, in words, from what the module believes. Read only."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from damsonpick.choice import Planner
+from damsonpick.tables.published import Published
+
+SLOW = 0.75  # learned speed below which an operator is told; a word for people, no decision
+
+
+def endpoints(planner: Planner, published: Published) -> Iterable[dict[str, object]]:
+    """One row an endpoint: state, what holds it back, and the evidence."""
+    lines: dict[str, int] = {}
+    for table in published.tables.values():
+        for name in table:
+            lines[name] = lines.get(name, 0) + 1
+    for name, ep in sorted(planner.endpoints.items()):
+        why = []
+        if planner.barred(name):
+            why.append(f"barred: the list says {ep.state}")
+        elif published.withdrawn.get(name):
+            why.append("withdrawn: old lines have not left all tables")
+        ramp = planner.ramp(ep)
+        if ramp < 1:
+            why.append(f"cold: started {(planner.now - ep.started) / 1e9:.1f} s ago, counted at {ramp:.0%}")
+        if ep.speed < SLOW:
+            why.append(f"slow: answers in {ep.latency / 1e6:.0f} ms, {ep.sound:.0%} answered")
+        yield {"endpoint": name, "state": ep.state, "withdrawn": name in published.withdrawn,
+               "lines": lines.get(name, 0), "weight": ep.weight, "speed": round(ep.speed, 3),
+               "ramp": round(ramp, 3), "tries": round(ep.tries, 1), "why": "; ".join(why) or "in full service"}
+
+
+def reason(planner: Planner, name: str) -> str:
+    """Why an endpoint was withdrawn or let in again."""
+    ep = planner.endpoints.get(name)
+    if ep is None:
+        return "unknown to the module"
+    if planner.barred(name):
+        return f"the list says {ep.state}"
+    return "listed as ready and no old line is left"
--- a/damsonpick/xds/hub.py
+++ b/damsonpick/xds/hub.py
@@ -97,8 +97,12 @@
         low = min(session.oldest(), self._queued(member.number))
         while member.marks and member.marks[0].seq < low:
             mark = member.marks.popleft()
+            if any(first <= mark.seq <= upto for first, upto in session.void if first):
+                continue  # rejected: not applied, and a later mark clears the module's books
             member.acked_at = now
             self.events.append(api.Applied(mark.mark, member.number, max(0, now - mark.ordered)))
+        if not member.marks:
+            session.void.clear()
 
     def _queued(self, number: int) -> int:
         wait = self.channel.waits.get(number)
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -44,8 +44,9 @@
 class Flight:
     """One response on its way."""
 
-    def __init__(self, nonce: str, versions: dict[str, str], due: Due, sent: int) -> None:
-        self.nonce, self.versions, self.due, self.sent = nonce, versions, due, sent
+    def __init__(self, nonce: str, versions: dict[str, str], due: Due, upto: int) -> None:
+        self.nonce, self.versions, self.due = nonce, versions, due
+        self.upto = upto  # the newest change number when it was sent
 
 
 class Watch:
@@ -62,7 +63,8 @@
         self.forced: set[str] = set()  # due although the same version was sent: it asked again
         self.apart: deque[list[str]] = deque()  # parts of a rejected response, each to go alone
         self.flights: OrderedDict[str, Flight] = OrderedDict()
-        self.settled: OrderedDict[str, dict[str, str]] = OrderedDict()
+        self.settled: OrderedDict[str, Flight] = OrderedDict()
+        self.last = ""  # nonce of the newest response
 
     def wants(self, name: str) -> bool:
         return self.wildcard or name in self.names
@@ -84,6 +86,7 @@
         self.node, self.zone = "", ""
         self.fresh = True
         self.count = 0
+        self.void: list[tuple[int, int]] = []  # changes that a rejected response answered for
         self.rejections: dict[str, str] = {}  # resource: what the gateway said of it
         self.notes: list[Note] = []
         self.allowance, self.metered = REQUEST_BURST, 0
@@ -125,9 +128,9 @@
             while True:
                 _, flight = watch.flights.popitem(last=False)
                 mine = flight.nonce == nonce
-                watch.settled[flight.nonce] = flight.versions
+                watch.settled[flight.nonce] = flight
                 if mine and bad:
-                    self._reject(request, watch, flight.versions)
+                    self._reject(request, watch, flight)
                 else:
                     self._accept(watch, flight.versions)
                 if mine:
@@ -147,10 +150,11 @@
                 watch.held.pop(name, None)
             self.rejections.pop(name, None)
 
-    def _reject(self, request: object, watch: Watch, versions: dict[str, str]) -> None:
+    def _reject(self, request: object, watch: Watch, flight: Flight) -> None:
         """A rejection says that something in a response is bad, not what. The response is cut in halves until
         the bad resource stands alone; that text is never sent again, all others get through."""
-        why = request.error_detail.message[:500]
+        versions, why = flight.versions, request.error_detail.message[:500]
+        self.void.append((flight.due.first, flight.upto))
         for name, version in versions.items():
             if watch.sent.get(name) == version:
                 watch.sent.pop(name)
@@ -272,7 +276,8 @@
         self.count += 1
         nonce = f"{self.count}.{due.ordered}.{due.lines}"
         versions = {name: self._version(kind, name) for name in send}
-        watch.flights[nonce] = Flight(nonce, versions, due, now)
+        watch.flights[nonce] = Flight(nonce, versions, due, self.catalogue.published.seq)
+        watch.last = nonce
         watch.sent.update(versions)
         return self._render(kind, nonce, versions)
 
@@ -292,8 +297,7 @@
     variant = "sotw"
 
     def _subscribe(self, now: int, kind: str, watch: Watch, request: discovery_pb2.DiscoveryRequest) -> None:
-        if watch.begun and request.response_nonce != next(reversed(watch.settled or {"": 0}), "") \
-                and request.response_nonce:
+        if watch.begun and request.response_nonce and request.response_nonce != watch.last:
             return  # not the newest response's: the client will say again what it wants
         if not watch.begun and request.version_info:
             self.fresh = False
