--- /dev/null
+++ b/damsonpick/badday/player.py
@@ -0,0 +1,93 @@
+"""Plays a script against a running pilot and judges what passed on the sockets."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from damsonpick.badday.script import Script, Trouble
+from damsonpick.badday.stage import Stage
+from damsonpick.badday.troubles import ALL
+from damsonpick.rules.check import Checker, Limits, Result
+from damsonpick.settings.load import load
+
+PILOT = [sys.executable, "-m", "damsonpick"]
+LEAD = 2_000_000_000  # ns of the day before the first request counts
+
+
+class Outcome:
+    """What a day showed."""
+
+    def __init__(self, rules: list[Result], service: float, requests: int, ends: dict[str, int]) -> None:
+        self.rules, self.service, self.requests, self.ends = rules, service, requests, ends
+
+    @property
+    def kept(self) -> bool:
+        return not any(rule.breaches for rule in self.rules)
+
+    def as_dict(self) -> dict[str, Any]:
+        return {"kept": self.kept, "service": round(self.service, 4), "requests": self.requests, "ends": self.ends,
+                "rules": [{"rule": r.name, "tested": r.tested, "worst": round(r.worst, 3), "limit": r.limit,
+                           "unit": r.unit, "breaches": [b._asdict() for b in r.breaches]} for r in self.rules]}
+
+
+async def play(script: Script, seed: int, folder: Path, pilot: list[str] | None = None) -> Outcome:
+    """Play one day in `folder`, which must be empty, and judge it."""
+    stage = Stage(script, seed, folder, pilot or PILOT)
+
+    async def strike(trouble: Trouble) -> None:
+        await stage.wait(trouble.at)
+        await ALL[trouble.kind](stage, trouble)
+
+    async with anyio.create_task_group() as group:
+        try:
+            await stage.build(group)
+            for trouble in script.troubles.values():
+                group.start_soon(strike, trouble)
+            await stage.wait(script.day.length)
+        finally:
+            await stage.end()
+        group.cancel_scope.cancel()
+    return judge(folder, limits(load(stage.settings_file)))
+
+
+def limits(settings: Any) -> Limits:
+    """The rules' figures from a pilot's settings."""
+    r, c = settings.rules, settings.channel
+    return Limits(
+        slices=settings.tables.slices, bare=r.bare_limit, grace=r.drain_grace, cold_time=r.cold_time,
+        fall_multiple=r.fall_multiple, fall_time=r.fall_time,
+        waiting=c.limit if c.lines_per_second else float("inf"), head=c.head, messages=c.messages, window=c.window,
+        effects={n: (k.effect, k.key_scope, k.key_window) for n, k in settings.classes.items()})
+
+
+def records(folder: Path) -> Iterable[dict[str, Any]]:
+    """All records of a day in order of time; a line cut short by a kill is left out."""
+    found = []
+    for path in sorted(folder.glob("*.jsonl")):
+        for line in path.read_text().splitlines():
+            try:
+                found.append(json.loads(line))
+            except json.JSONDecodeError:
+                continue
+    return sorted(found, key=lambda event: event["t"])
+
+
+def judge(folder: Path, bounds: Limits) -> Outcome:
+    events = list(records(folder))
+    checker = Checker(bounds).feed(events)
+    done = [e for e in events if e["e"] == "done"]
+    first = min((e["begun"] for e in done), default=0) + LEAD
+    counted = [e for e in done if e["begun"] >= first]
+    asked = sum(e["worth"] for e in counted)
+    served = sum(e["worth"] for e in counted if e["ok"] and e["ms"] <= e["aim"])
+    ends: dict[str, int] = {}
+    for e in counted:
+        how = "late" if e["ok"] and e["ms"] > e["aim"] else e["how"]
+        ends[how] = ends.get(how, 0) + 1
+    return Outcome(checker.results(), served / asked if asked else 0.0, len(counted), ends)
--- /dev/null
+++ b/damsonpick/badday/script.py
@@ -0,0 +1,123 @@
+"""The script of a bad day: an INI file, checked whole. Troubles are named as the bench names them."""
+
+from __future__ import annotations
+
+import configparser
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from damsonpick.settings.load import Problem, SettingsError, parse
+from damsonpick.settings.units import Duration, Names
+
+Share = Annotated[float, Field(gt=0, le=1)]
+PILOT_SECTIONS = ("rules", "channel", "reports")  # handed to the pilot as they stand
+
+
+class Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Day(Section):
+    """[day]: the fleet and the traffic."""
+
+    length: Duration
+    rate: float = Field(1.0, gt=0, le=10)  # seconds of the day to one of the wall
+    seed: int = 1
+    gateways: int = Field(20, ge=1, le=200)
+    servers: int = Field(16, ge=1, le=100)
+    zones: Names = ("north", "south", "west", "east")
+    slices: int = Field(96, ge=1, le=5000)
+    load: Share = 0.5  # of the fleet's capacity, at the start
+    cores: int = Field(4, ge=1, le=64)
+    notice: Duration = 1_000_000_000  # until the list knows of a change
+
+
+class Kind(Section):
+    """[class NAME]: as in the pilot's settings, with its share of the traffic and its work."""
+
+    aim: Duration
+    deadline: Duration
+    worth: float = 1.0
+    effect: Literal["read_like", "idempotency_key", "non_idempotent"] = "read_like"
+    key_scope: Literal["all", "zone", "cell"] = "all"
+    key_window: Duration = 0
+    share: Share
+    work: Duration
+
+
+class Trouble(Section):
+    """[trouble NAME]: what goes wrong, when, for how long, and how much. See docs/operators/badday.md."""
+
+    kind: Literal["crash", "deploy", "shrink", "slow", "hang", "fast_errors", "hot_key", "zone_cut", "counter_down",
+                  "report_late", "origin_slow", "balancer_stall", "class_fail", "flapping", "preempt",
+                  "pilot_restart", "rush"]
+    at: Duration
+    len: Duration = 10_000_000_000
+    part: Share = 0.2
+    size: float = 2.0
+    extra: float = 2.0
+
+
+class Script(Section):
+    day: Day
+    classes: dict[str, Kind]
+    troubles: dict[str, Trouble]
+    pilot: dict[str, dict[str, str]]
+
+
+def load(path: Path) -> Script:
+    """A day's script.
+
+    Raises:
+        SettingsError: with every problem found, each with section, key, value and remedy.
+    """
+    parser = parse(path)
+    raw, problems = _sections(parser)
+    try:
+        script = Script.model_validate(raw)
+    except ValidationError as error:
+        raise SettingsError(path, problems + [_problem(e) for e in error.errors()]) from None
+    problems += _across(script)
+    if problems:
+        raise SettingsError(path, problems)
+    return script
+
+
+def _sections(parser: configparser.ConfigParser) -> tuple[dict, list[Problem]]:
+    raw: dict = {"classes": {}, "troubles": {}, "pilot": {}}
+    problems = []
+    for name in parser.sections():
+        head, _, rest = name.partition(" ")
+        if name == "day":
+            raw["day"] = dict(parser[name])
+        elif head in ("class", "trouble") and rest:
+            raw["classes" if head == "class" else "troubles"][rest] = dict(parser[name])
+        elif name in PILOT_SECTIONS:
+            raw["pilot"][name] = dict(parser[name])
+        else:
+            problems.append(Problem(name, "", "", "is no section of a day; it has [day], [class NAME], "
+                                    "[trouble NAME], [rules], [channel] and [reports]"))
+    return raw, problems
+
+
+def _problem(error: dict) -> Problem:
+    place = [str(part) for part in error["loc"]]
+    if place[0] in ("classes", "troubles"):
+        place = [("class " if place[0] == "classes" else "trouble ") + place[1], *place[2:]]
+    value = error.get("input")
+    text = error["msg"].removeprefix("Value error, ")
+    return Problem(place[0], ".".join(place[1:]), "" if isinstance(value, dict) else str(value),
+                   f"is wrong: {text[0].lower()}{text[1:]}; correct it")
+
+
+def _across(script: Script) -> list[Problem]:
+    found = []
+    if not script.classes:
+        found.append(Problem("class NAME", "", "", "is missing; add a class of request"))
+    for name, trouble in script.troubles.items():
+        if trouble.at >= script.day.length:
+            found.append(Problem(f"trouble {name}", "at", f"{trouble.at / 1e9:g} s",
+                                 "is after the day's end; start it earlier"))
+    return found
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import shlex
 import signal
 import sys
 from pathlib import Path
@@ -166,5 +167,25 @@
            for t in reply["tables"]])
 
 
+@main.command()
+@click.argument("days", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--seed", type=int, help="Draws fleet, traffic and who is struck; the script's own if not given.")
+@click.option("--times", default=1, show_default=True, type=click.IntRange(1, 100),
+              help="Play each day so often, with the next seeds.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Keep settings, records and logs in this folder.")
+@click.option("--pilot", help="The command that runs a pilot, in place of this program's own.")
+@as_json
+def badday(days: tuple[Path, ...], seed: int | None, times: int, keep: Path | None, pilot: str | None,
+           as_json: bool) -> None:
+    """Rehearse the bad DAYS: a pilot, gateways and servers on loopback, troubles by script.
+
+    The five rules are checked from what passed on the sockets. Exit code 0: all kept on every day; 1: one was
+    broken, it is named; 2: a script cannot be read.
+    """
+    from damsonpick.badday import report
+
+    sys.exit(report.rehearse(days, seed, times, keep, shlex.split(pilot) if pilot else None, as_json))
+
+
 if __name__ == "__main__":
     main()
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -174,7 +174,8 @@
             try:
                 self.engine.renew(self.clock.now())
             except Exception as error:
-                self.log.error("custody_not_renewed", error=str(error), remedy="see the state folder's space and rights")
+                self.log.error("custody_not_renewed", error=str(error),
+                               remedy="see space and rights of the state folder")
             self.stir()
 
     # -- questions
--- /dev/null
+++ b/damsonpick/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The five rules, checked from recorded socket traffic alone."""
--- /dev/null
+++ b/damsonpick/standins/holdings.py
@@ -0,0 +1,149 @@
+"""What a gateway holds: tables, withdrawals, levels and retry modes as its xDS stream brought them. Sans I/O."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from envoy.config.cluster.v3 import cluster_pb2
+from envoy.config.core.v3 import base_pb2
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.config.route.v3 import route_pb2
+from envoy.service.discovery.v3 import discovery_pb2
+
+from damsonpick.xds.names import CDS, EDS, RDS
+
+DENOMINATORS = (100, 10_000, 1_000_000)
+
+
+class Table(NamedTuple):
+    """One assignment: weight and zone by endpoint, share let in by class."""
+
+    lines: dict[str, tuple[int, str]]
+    levels: dict[str, float]
+
+
+class Bad(Exception):
+    """A resource that this gateway will not take."""
+
+
+def read_table(body: bytes) -> Table:
+    assignment = endpoint_pb2.ClusterLoadAssignment.FromString(body)
+    lines = {}
+    for place in assignment.endpoints:
+        for line in place.lb_endpoints:
+            at = line.endpoint.address.socket_address
+            lines[f"{at.address}:{at.port_value}"] = (line.load_balancing_weight.value, place.locality.zone)
+    levels = {d.category: 1 - d.drop_percentage.numerator / DENOMINATORS[d.drop_percentage.denominator]
+              for d in assignment.policy.drop_overloads}
+    return Table(lines, levels)
+
+
+def read_retries(body: bytes) -> dict[tuple[str, str], tuple[str, int]]:
+    """(class, cluster or '') to (conditions, further tries)."""
+    result = {}
+    for host in route_pb2.RouteConfiguration.FromString(body).virtual_hosts:
+        for route in host.routes:
+            asked = {h.name: h.string_match.exact for h in route.match.headers}
+            policy = route.route.retry_policy
+            result[asked.get("x-damson-class", ""), asked.get("x-damson-cluster", "")] = (
+                policy.retry_on, policy.num_retries.value)
+    return result
+
+
+class Holdings:
+    """Everything held, with the version of each resource by type."""
+
+    def __init__(self) -> None:
+        self.versions: dict[str, dict[str, str]] = {CDS: {}, EDS: {}, RDS: {}}
+        self.tables: dict[str, Table] = {}
+        self.retries: dict[tuple[str, str], tuple[str, int]] = {}
+        self.picks: dict[str, int] = {}
+        self.strikes = 0
+        self.refuse: set[str] = set()  # names that it is told not to take
+
+    def take(self, kind: str, resources: list[tuple[str, str, bytes]], removed: list[str]) -> None:
+        """Apply a response as a whole.
+
+        Raises:
+            Bad: a resource is not taken; then nothing of the response is.
+        """
+        for name, _, _ in resources:
+            if name in self.refuse:
+                raise Bad(f"{name}: this gateway was told to refuse it")
+        for name, version, body in resources:
+            self.versions[kind][name] = version
+            if kind == EDS:
+                self.tables[name] = read_table(body)
+            elif kind == RDS:
+                self.retries = read_retries(body)
+            else:
+                cluster = cluster_pb2.Cluster.FromString(body)
+                self.picks[name] = cluster.lb_policy
+                self.strikes = cluster.outlier_detection.consecutive_5xx.value
+        for name in removed:
+            self.versions[kind].pop(name, None)
+            if kind == EDS:
+                self.tables.pop(name, None)
+
+    def open_lines(self, cluster: str) -> dict[str, tuple[int, str]]:
+        """What may be picked for a cluster now."""
+        table, fleet = self.tables.get(cluster), self.tables.get("fleet")
+        if table is None:
+            return {}
+        return {n: v for n, v in table.lines.items() if fleet is None or n not in fleet.lines}
+
+    def level(self, cluster: str, kind: str) -> float:
+        tables = (self.tables.get(cluster), self.tables.get("fleet"))
+        return min([1.0, *(t.levels.get(kind, 1.0) for t in tables if t is not None)])
+
+    def retry(self, cluster: str, kind: str) -> tuple[str, int]:
+        return self.retries.get((kind, cluster)) or self.retries.get((kind, ""), ("", 0))
+
+
+class Asker:
+    """The client half of one ADS stream, either variant: what to say at the start and to each response."""
+
+    def __init__(self, holdings: Holdings, node: str, zone: str, delta: bool) -> None:
+        self.holdings, self.delta = holdings, delta
+        self.node = base_pb2.Node(id=node, user_agent_name="damsonpick stand-in gateway")
+        self.node.locality.zone = zone
+        self.asked: dict[str, list[str]] = {}
+        self.accepted: dict[str, str] = {}
+
+    def opening(self, kind: str, names: list[str], version: str = "") -> object:
+        """The first request of a type on this stream."""
+        self.asked[kind] = names
+        if self.delta:
+            return discovery_pb2.DeltaDiscoveryRequest(
+                node=self.node, type_url=kind, resource_names_subscribe=names or ["*"],
+                initial_resource_versions=self.holdings.versions[kind])
+        return discovery_pb2.DiscoveryRequest(node=self.node, type_url=kind, resource_names=names,
+                                              version_info=version)
+
+    def read(self, response: object) -> tuple[str, list[tuple[str, str, bytes]], list[str]]:
+        """Type, (name, version, body) of what came, names removed."""
+        if self.delta:
+            return (response.type_url, [(r.name, r.version, r.resource.value) for r in response.resources],
+                    list(response.removed_resources))
+        found = []
+        for body in response.resources:
+            name = {CDS: cluster_pb2.Cluster, RDS: route_pb2.RouteConfiguration}.get(response.type_url)
+            named = (endpoint_pb2.ClusterLoadAssignment.FromString(body.value).cluster_name if name is None
+                     else name.FromString(body.value).name)
+            found.append((named, response.version_info, body.value))
+        return response.type_url, found, []
+
+    def verdict(self, response: object, bad: str) -> object:
+        """ACK, or NACK with what was wrong."""
+        kind = response.type_url
+        if self.delta:
+            request = discovery_pb2.DeltaDiscoveryRequest(type_url=kind, response_nonce=response.nonce)
+        else:
+            if not bad:
+                self.accepted[kind] = response.version_info
+            request = discovery_pb2.DiscoveryRequest(
+                type_url=kind, response_nonce=response.nonce, resource_names=self.asked.get(kind, []),
+                version_info=self.accepted.get(kind, ""))
+        if bad:
+            request.error_detail.code, request.error_detail.message = 3, bad
+        return request
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -274,7 +274,7 @@
         due = Due(min((d.first for d in given), default=0), min((d.ordered for d in given if d.ordered), default=now),
                   max((d.lines for d in given), default=0))
         self.count += 1
-        nonce = f"{self.count}.{due.ordered}.{due.lines}"
+        nonce = f"{self.count}.{due.ordered}.{now}.{due.lines}"
         versions = {name: self._version(kind, name) for name in send}
         watch.flights[nonce] = Flight(nonce, versions, due, self.catalogue.published.seq)
         watch.last = nonce
