Hard cases of the pilot as tests: streams, engine, store, rules, broken pilots

Every failure the pilot is built for is caused on purpose: rejected tables, stale nonces, slow readers, floods, kills, lists that cannot be true, a module that fails. Cause found on the way: zones were unknown when the first resources were built after a restart, so every table went out again; now they come from the kept list first. Measured: rejoin after SIGKILL sends nothing that did not change.

--- a/damsonpick/badday/stage.py
+++ b/damsonpick/badday/stage.py
@@ -129,7 +129,11 @@
 
     async def order(self, do: str, **details: Any) -> None:
         """One order to the gateways."""
-        await self.fleet.stdin.send(json.dumps({"do": do, **details}).encode() + b"\n")
+        try:
+            await self.fleet.stdin.send(json.dumps({"do": do, **details}).encode() + b"\n")
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            tail = (self.folder / "fleet.log").read_text()[-800:]
+            raise RuntimeError(f"the gateways' process has ended; the end of its log: {tail}") from None
 
     async def wait(self, ns: float) -> None:
         await anyio.sleep(self.clock.seconds(int(ns)))
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -52,7 +52,7 @@
         self.roster = Roster(s.pilot.zones)
         c = s.channel
         self.channel = Channel(c.lines_per_second, c.head, c.limit, c.messages, c.window)
-        self.catalogue = Catalogue(self.published, s, self._zone_of)
+        self.catalogue = Catalogue(self.published, s, lambda endpoint: self.roster.places.get(endpoint, ""))
         self.hub = Hub(self.published, self.catalogue, self.channel, self.store.gateway)
         self.engine = Engine(s, self.store, self.published, self.hub, self.roster, log, make)
         self.evidence = Evidence(tuple(s.classes), s.tables.slices, s.reports.every, s.reports.oldest)
@@ -61,10 +61,6 @@
         self.port = 0
         self.list_said = "nothing yet"
 
-    def _zone_of(self, endpoint: str) -> str:
-        entry = self.roster.entries.get(endpoint)
-        return entry.zone if entry else ""
-
     def stir(self) -> None:
         """Something happened that the engine should look at."""
         self.bell.set()
@@ -139,6 +135,7 @@
             self.list_said = f"{len(said)} servers"
             if verdict.event is not None:
                 self._known(verdict.event)
+                self.engine.relocate(self.clock.now(), self.roster.moved(verdict.event.entries))
                 self.engine.tell(verdict.event)
         self.stir()
 
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -62,8 +62,8 @@
         now = self.clock.take(now)
         for number, lines in self.store.tables().items():
             self.published.restore(number, lines)
-        self.hub.catalogue.refresh(self.published.units())
         self.roster.restore(self.store.listed())
+        self.hub.catalogue.refresh(self.published.units())
         self.owned = {charge.slice for charge in self.store.claim(self.owner, now, self.lease())}
         self._begin(now)
 
@@ -93,6 +93,11 @@
         """Events for the next step, in order."""
         self.inbox.extend(events)
 
+    def relocate(self, now: int, endpoints: list[str]) -> list[Session]:
+        """Send tables again whose endpoints turned out to stand elsewhere."""
+        change = self.published.touch(endpoints)
+        return self.hub.publish(self.clock.take(now), change) if change.lines else []
+
     def renew(self, now: int) -> None:
         """Keep custody; a slice lost to another pilot is given up, one won is taken over."""
         have = {charge.slice for charge in self.store.claim(self.owner, self.clock.take(now), self.lease())}
--- a/damsonpick/roster/judge.py
+++ b/damsonpick/roster/judge.py
@@ -29,12 +29,20 @@
         self.zones = zones
         self.entries: dict[str, api.ListEntry] = {}
         self.fresh = False  # a list has come since the start
+        self.places: dict[str, str] = {}  # zone by endpoint, kept after it has left the list
 
     def restore(self, entries: Iterable[api.ListEntry]) -> api.ListChanged:
         """The kept list, before any source has answered."""
         self.entries = {e.endpoint: e for e in entries}
+        self.places = {e.endpoint: e.zone for e in self.entries.values()}
         return api.ListChanged("restored", tuple(self.entries.values()))
 
+    def moved(self, entries: Iterable[api.ListEntry]) -> list[str]:
+        """Endpoints whose zone is news; it is taken over."""
+        news = [e.endpoint for e in entries if self.places.get(e.endpoint) != e.zone]
+        self.places.update((e.endpoint, e.zone) for e in entries)
+        return news
+
     def failed(self) -> api.ListChanged:
         return api.ListChanged("unavailable", ())
 
--- a/damsonpick/rules/check.py
+++ b/damsonpick/rules/check.py
@@ -141,6 +141,8 @@
                 self.out.pop(server, None)
                 self.starts.setdefault((server, entries[server][1]), event["t"])
             elif server in self.listed or state == "terminating":
+                if server not in self.out:  # each gateway on a stream owes this one
+                    self.drain.tested += sum(bool(g.joined) for g in self.gateways.values())
                 self.out.setdefault(server, event["t"])
         self.listed = dict(entries)
         self._set_ready(event["t"])
@@ -167,6 +169,7 @@
             if event.get("fresh"):
                 gateway.tables, gateway.out = {}, set()
             gateway.sent.clear()
+            self.drain.tested += len(self.out)  # owed by it from now on
             self._look(event, gateway, range(self.limits.slices))
         else:
             gateway.joined = 0
--- a/damsonpick/standins/gateway.py
+++ b/damsonpick/standins/gateway.py
@@ -99,15 +99,15 @@
             await call.write(asker.opening(CDS, [], self.version.get(CDS, "")))
             async with anyio.create_task_group() as group:
                 group.start_soon(self._report, channel)
-                group.start_soon(self._watch_links, call)
+                group.start_soon(self._watch_links, group.cancel_scope)
                 await self._read(call, asker)
                 group.cancel_scope.cancel()
 
-    async def _watch_links(self, call: Any) -> None:
-        """A cut link breaks the stream."""
+    async def _watch_links(self, scope: anyio.CancelScope) -> None:
+        """A cut link breaks the stream (a call cancelled here would raise in its reader as a cancelled task)."""
         while self.links.to_pilot(self.name, self.zone):
             await anyio.sleep(0.05)
-        call.cancel()
+        scope.cancel()
 
     async def _read(self, call: Any, asker: Asker) -> None:
         begun = False
--- a/damsonpick/tables/published.py
+++ b/damsonpick/tables/published.py
@@ -128,6 +128,17 @@
             self.retries[order.table, k] = order.retry
         return result
 
+    def touch(self, endpoints: Iterable[str]) -> Change:
+        """A change of what is known of endpoints (their zone), in every table that names them."""
+        self.seq += 1
+        lines: dict[str, set[str]] = {}
+        for name in endpoints:
+            for number, table in self.tables.items():
+                if name in table:
+                    lines.setdefault(slice_unit(number), set()).add(name)
+        self.changed.update(dict.fromkeys(lines, self.seq))
+        return Change(self.seq, lines, [], False)
+
     def open_lines(self, number: int) -> list[str]:
         """Endpoints of a slice that a gateway may pick."""
         return [name for name in self.tables[number] if name not in self.withdrawn]
--- a/damsonpick/xds/server.py
+++ b/damsonpick/xds/server.py
@@ -90,7 +90,7 @@
                      context: grpc.aio.ServicerContext) -> None:
         stream = Stream(session)
         self.streams[session] = stream
-        ended: list[str] = []
+        ended: list[ProtocolError] = []
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._read, stream, kind, requests, ended, group.cancel_scope)
@@ -103,13 +103,13 @@
         finally:
             del self.streams[session]
             if session in self.hub.by:
-                self.log.info("gateway_left", gateway=session.node, why=ended[0] if ended else "the stream broke")
+                self.log.info("gateway_left", gateway=session.node, why=str(ended[0]) if ended else "the stream broke")
             self.hub.leave(session)
             self.stir()
-        if ended and ended[0]:
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, ended[0])
+        if ended:
+            await context.abort(grpc.StatusCode[ended[0].code], str(ended[0]))
 
-    async def _read(self, stream: Stream, kind: type, requests: AsyncIterator[bytes], ended: list[str],
+    async def _read(self, stream: Stream, kind: type, requests: AsyncIterator[bytes], ended: list[ProtocolError],
                     scope: anyio.CancelScope) -> None:
         session = stream.session
         try:
@@ -123,13 +123,12 @@
                 stream.ring()
                 if self.hub.events:
                     self.stir()
-            ended.append("")
         except DecodeError:
-            ended.append(f"a request is no {kind.DESCRIPTOR.name}; send protobuf as the specification has it")
+            ended.append(ProtocolError(f"a request is no {kind.DESCRIPTOR.name}; send protobuf as specified"))
         except ProtocolError as error:
-            ended.append(str(error))
-        if ended[0]:
-            self.log.warning("stream_refused", gateway=session.node, why=ended[0])
+            ended.append(error)
+        if ended:
+            self.log.warning("stream_refused", gateway=session.node, why=str(ended[0]))
         scope.cancel()
 
     def _joined(self, session: Session) -> None:
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -24,7 +24,11 @@
 
 
 class ProtocolError(Exception):
-    """The stream breaks the protocol and is ended; the text says how."""
+    """The stream breaks the protocol and is ended; the text says how, `code` is the gRPC status."""
+
+    def __init__(self, text: str, code: str = "INVALID_ARGUMENT") -> None:
+        super().__init__(text)
+        self.code = code
 
 
 class Note(NamedTuple):
@@ -117,7 +121,7 @@
         self.allowance = min(REQUEST_BURST, self.allowance + gained) - 1
         self.metered = now
         if self.allowance < 0:
-            raise ProtocolError(f"over {REQUEST_RATE:g} requests a second: no client needs that")
+            raise ProtocolError(f"over {REQUEST_RATE:g} requests a second: no client needs that", "RESOURCE_EXHAUSTED")
 
     def _answer(self, watch: Watch, request: object) -> None:
         """ACK or NACK. A stream is read in order, so an answer settles what went before as accepted, unless
--- /dev/null
+++ b/tests/faulty_pilot.py
@@ -0,0 +1,22 @@
+"""A pilot whose module fails every twelfth call: `python -m tests.faulty_pilot run FILE`."""
+
+from __future__ import annotations
+
+from damsonpick.choice import Planner
+from damsonpick.cli import main as cli
+
+
+class Faulty(Planner):
+    calls = 0
+
+    def handle(self, now, events):
+        Faulty.calls += 1
+        if Faulty.calls % 12 == 0:
+            raise RuntimeError("told to fail")
+        return super().handle(now, events)
+
+
+if __name__ == "__main__":
+    real = cli.serve
+    cli.serve = lambda settings, port_file: real(settings, port_file, make=Faulty)
+    cli.main()
--- /dev/null
+++ b/tests/test_badday.py
@@ -0,0 +1,92 @@
+"""Bad days through the real command line: rules kept by the pilot, and each rule broken by a broken one."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+DAY = """
+[day]
+length = {length} s
+rate = 3
+gateways = 6
+servers = 6
+slices = 18
+load = {load}
+notice = 500 ms
+[rules]
+drain_grace = 2.5 s
+bare_limit = 2.5 s
+cold_share = 0.2
+cold_time = 12 s
+fall_multiple = {multiple}
+fall_time = 1.5 s
+[channel]
+lines_per_second = 4000
+limit = 8000
+[class page]
+aim = 1.5 s
+deadline = 4 s
+share = 0.6
+work = 200 ms
+[class tally]
+aim = 1.5 s
+deadline = 4 s
+worth = 2
+effect = non_idempotent
+share = 0.4
+work = 200 ms
+"""
+KILLED = "[trouble kill]\nkind = pilot_restart\nat = 6 s\nextra = 1\n[trouble crash]\nkind = crash\nat = 7 s\nlen = 4 s\n"
+DEPLOY = "[trouble release]\nkind = deploy\nat = 5 s\nlen = 8 s\npart = 0.7\nsize = 0.34\nextra = 3\n"
+ABRUPT = "[trouble flap]\nkind = flapping\nat = 4 s\nlen = 9 s\npart = 0.7\nextra = 1\n"
+
+
+def play(tmp_path, troubles, pilot=None, length=14, load=0.4, multiple=4):
+    path = tmp_path / "day.ini"
+    path.write_text(DAY.format(length=length, load=load, multiple=multiple) + troubles)
+    command = [sys.executable, "-m", "damsonpick", "badday", str(path), "--json", "--keep", str(tmp_path / "kept")]
+    if pilot:
+        command += ["--pilot", f"{sys.executable} -m tests.broken_pilot {pilot}"]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=120)
+    assert done.stdout, done.stderr
+    return done.returncode, json.loads(done.stdout)
+
+
+def broken(outcome):
+    return {r["rule"] for r in outcome["rules"] if r["breaches"]}
+
+
+def test_a_day_with_the_pilot_killed_keeps_all_rules(tmp_path):
+    code, outcome = play(tmp_path, KILLED)
+    assert code == 0 and outcome["kept"], outcome
+    tested = {r["rule"]: r["tested"] for r in outcome["rules"]}
+    assert all(tested[r] for r in ("nobody left without a server", "no effect twice", "drains kept")), tested
+    assert outcome["requests"] > 100 and outcome["service"] > 0.8
+    log = (tmp_path / "kept" / "day-1" / "pilot.log").read_text()
+    assert log.count("pilot_started") == 2, "it was killed and came back"
+
+
+@pytest.mark.parametrize(("pilot", "troubles", "rule"), [
+    ("deaf_to_drains", DEPLOY, "drains kept"),
+    ("bare", "", "nobody left without a server"),
+    ("retrying", ABRUPT, "no effect twice"),
+    ("reckless", DEPLOY, "no cold server pushed over"),
+])
+def test_a_broken_pilot_fails_the_day_and_the_rule_is_named(tmp_path, pilot, troubles, rule):
+    multiple = 1.2 if pilot == "reckless" else 4
+    code, outcome = play(tmp_path, troubles, pilot, load=0.6, multiple=multiple)
+    assert code == 1 and rule in broken(outcome), outcome
+
+
+def test_a_script_that_cannot_be_read_is_refused_before_anything_starts(tmp_path):
+    path = tmp_path / "day.ini"
+    path.write_text("[day]\nlength = soon\n")
+    done = subprocess.run([sys.executable, "-m", "damsonpick", "badday", str(path)], cwd=ROOT, capture_output=True,
+                          text=True)
+    assert done.returncode == 2 and "[day] length" in done.stderr
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,212 @@
+"""The loop round the module: failures of the module, clock steps, a store that cannot be written."""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+
+import pytest
+import structlog
+
+from damsonpick import interface as api
+from damsonpick.channel.queue import Channel
+from damsonpick.choice import Planner
+from damsonpick.engine.core import Engine
+from damsonpick.roster.judge import Roster
+from damsonpick.settings import load
+from damsonpick.store.sqlite import Store
+from damsonpick.tables.published import Published, slice_unit
+from damsonpick.xds.hub import Hub
+from damsonpick.xds.resources import Catalogue
+from damsonpick.xds.session import DeltaSession
+from tests.pilots import SETTINGS, Pilot, until
+from tests.test_xds_hard_cases import SLICES, drained, served
+
+SECOND = 1_000_000_000
+NOW = 100 * SECOND
+
+
+class Broken(Planner):
+    """Fails at the calls that it is told to."""
+
+    fail_at: tuple[int, ...] = ()
+    calls = 0
+
+    def handle(self, now, events):
+        Broken.calls += 1
+        if Broken.calls in Broken.fail_at:
+            raise ZeroDivisionError("told to")
+        return super().handle(now, events)
+
+
+class World:
+    """An engine with a joined stream that takes all it is sent."""
+
+    def __init__(self, folder, make=Planner):
+        (folder / "pilot.ini").write_text(SETTINGS.format(slices=6, rate=0))
+        self.settings = load(folder / "pilot.ini")
+        self.store = Store(folder / "t.db", 6)
+        self.published = Published(("page", "tally"), 6)
+        self.catalogue = Catalogue(self.published, self.settings, lambda n: "a")
+        self.hub = Hub(self.published, self.catalogue, Channel(0, 8, 1e9), self.store.gateway)
+        self.roster = Roster(("a", "b"))
+        self.log = structlog.testing.LogCapture()
+        log = structlog.wrap_logger(None, processors=[self.log])
+        self.engine = Engine(self.settings, self.store, self.published, self.hub, self.roster, log, make)
+        self.now = NOW
+        self.engine.start(NOW)
+        self.list("in_service", "in_service", "in_service")
+
+    def list(self, *states):
+        entries = [api.ListEntry(f"127.0.0.1:{9001 + k}", "a", s, 1.0, 0) for k, s in enumerate(states)]
+        verdict = self.roster.take(self.now, entries)
+        if verdict.event:
+            self.engine.tell(verdict.event)
+
+    def join(self, node="gw"):
+        from envoy.service.discovery.v3 import discovery_pb2
+
+        session = DeltaSession(self.catalogue, 1)
+        request = discovery_pb2.DeltaDiscoveryRequest(
+            type_url="type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment")
+        request.node.id = node
+        session.receive(self.now, request)
+        self.hub.join(self.now, session)
+        return session
+
+    def run(self, seconds, step=SECOND // 10):
+        end = self.now + int(seconds * SECOND)
+        while self.now < end:
+            self.engine.step(self.now)
+            self.hub.pump(self.now)
+            for session in list(self.hub.by):
+                while (response := session.compose(self.now)) is not None:
+                    self.acknowledge(session, response)
+                self.hub.settle(self.now, session)
+            self.now += step
+
+    def acknowledge(self, session, response):
+        from envoy.service.discovery.v3 import discovery_pb2
+
+        got = discovery_pb2.DeltaDiscoveryResponse.FromString(response)
+        session.receive(self.now, discovery_pb2.DeltaDiscoveryRequest(type_url=got.type_url, response_nonce=got.nonce))
+
+    def events(self, name):
+        return [e for e in self.log.entries if e["event"] == name]
+
+    def open(self):
+        return all(self.published.open_lines(n) for n in range(6))
+
+
+def test_tables_are_stored_before_they_are_sent_and_marks_come_back(tmp_path):
+    world = World(tmp_path)
+    session = world.join()
+    world.run(1)
+    assert world.open() and world.store.tables() == world.published.tables
+    assert world.hub.by[session].session is session and world.engine.planner.channel.mark
+    assert not world.engine.planner.channel.flights, "every mark was answered"
+
+
+def test_a_failing_module_keeps_the_tables_and_starts_over_from_the_store(tmp_path):
+    Broken.fail_at, Broken.calls = (6,), 0
+    world = World(tmp_path, Broken)
+    world.join()
+    world.run(0.3)
+    before = {n: dict(t) for n, t in world.published.tables.items()}
+    world.run(2)
+    failed, = world.events("module_failed")
+    assert "ZeroDivisionError" in failed["error"] and failed["events"] and failed["restart_in_ms"] == 0
+    assert world.engine.planner is not None and world.published.tables == before
+    world.list("terminating", "in_service", "in_service")
+    world.run(1)
+    assert all("127.0.0.1:9001" not in world.published.open_lines(n) for n in range(6)) and world.open()
+
+
+def test_a_module_that_fails_again_and_again_is_tried_within_a_second_each_time(tmp_path):
+    Broken.fail_at, Broken.calls = tuple(range(3, 60)), 0
+    world = World(tmp_path, Broken)
+    world.join()
+    world.run(30)
+    waits = [e["restart_in_ms"] for e in world.events("module_failed")]
+    assert waits[0] == 0 and max(waits) <= 1000 and len(waits) >= 20
+
+
+def test_a_clock_that_jumps_back_stands_still_and_forward_does_no_harm(tmp_path):
+    world = World(tmp_path)
+    world.join()
+    world.run(2)
+    seen = world.engine.planner.now
+    world.now -= 3600 * SECOND
+    world.run(1)
+    assert world.engine.planner.now >= seen and world.engine.clock.steps_back > 0
+    world.now = seen + 7200 * SECOND
+    world.list("terminating", "in_service", "in_service")
+    world.run(1)
+    assert all("127.0.0.1:9001" not in world.published.open_lines(n) for n in range(6)) and world.open()
+
+
+def test_a_store_that_cannot_be_written_is_said_and_orders_go_on(tmp_path, monkeypatch):
+    world = World(tmp_path)
+    world.join()
+
+    def full(tables):
+        raise sqlite3.OperationalError("database or disk is full")
+
+    monkeypatch.setattr(world.store, "write", full)
+    world.run(1)
+    assert world.open() and world.events("store_not_written") and not any(world.store.tables().values())
+    monkeypatch.undo()
+    world.run(2)
+    assert world.store.tables() == world.published.tables and world.events("store_caught_up")
+
+
+def test_custody_lost_is_given_up_and_orders_for_it_are_dropped(tmp_path):
+    world = World(tmp_path)
+    world.join()
+    world.run(1)
+    world.store.db.execute("UPDATE slices SET owner = 'other', until = ? WHERE slice < 3", (world.now * 2,))
+    world.engine.renew(world.now)
+    world.run(1)
+    assert world.engine.owned == {3, 4, 5} and set(world.engine.planner.slices) == {3, 4, 5}
+    kept = {n: dict(world.published.tables[n]) for n in range(3)}
+    world.list("terminating", "in_service", "in_service")
+    world.run(1)
+    assert {n: world.published.tables[n] for n in range(3)} == kept
+    world.store.release("other")
+    world.engine.renew(world.now)
+    world.run(1)
+    assert set(world.engine.planner.slices) == set(range(6))
+
+
+def test_orders_that_change_nothing_cost_nothing():
+    published = Published(("page",), 2)
+    line = api.SetLine(0, "x:1", 1.0)
+    assert published.apply([line]).cost() == 1 and published.apply([line]).cost() == 0
+    assert published.apply([api.Withdraw("x:1", False), api.Admit(None, (), 1.0, 0)]).cost() == 0
+    change = published.apply([api.Withdraw("x:1", True), api.Admit(0, (0,), 0.5, 1), api.Mark(7, True)])
+    assert change.urgent and change.marks == [7] and set(change.lines) == {"fleet", slice_unit(0), "routes"}
+    assert published.open_lines(0) == [] and published.level(0, 0) == 0.5
+    assert published.apply([api.ClearTable(0)]).lines == {slice_unit(0): {"x:1", "level 0"}}
+
+
+FAULTY = "tests.faulty_pilot"
+
+
+@pytest.mark.parametrize("delta", [True, False])
+def test_a_failing_module_through_real_sockets(tmp_path, clients, delta):
+    pilot = Pilot(tmp_path, module=FAULTY)
+    pilot.list(s1="in_service", s2="in_service", s3="in_service")
+    pilot.start()
+    try:
+        client = clients(pilot, delta=delta)
+        client.until(served(client))
+        until(lambda: pilot.log("module_failed"))
+        before = dict(client.tables)
+        client.settle()
+        assert all(client.tables[s] for s in SLICES) and before
+        pilot.list(s1="terminating", s2="in_service", s3="in_service")
+        client.until(lambda: drained(pilot, client, 1))
+        assert all(e["restart_in_ms"] <= 1000 for e in pilot.log("module_failed"))
+        assert json.dumps(pilot.log("module_failed")[0]["events"])
+    finally:
+        pilot.stop()
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,93 @@
+"""Settings: every problem at once, each with section, key, value and remedy."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from damsonpick.badday import script
+from damsonpick.settings import SettingsError, load, read
+from damsonpick.settings.units import duration
+from tests.pilots import SETTINGS
+
+GOOD = SETTINGS.format(slices=6, rate=0)
+
+
+def problems(tmp_path, text):
+    path = tmp_path / "pilot.ini"
+    path.write_text(text)
+    settings, found = read(path)
+    assert settings is None
+    return [str(p) for p in found]
+
+
+def test_good_settings_become_the_modules_own(tmp_path):
+    path = tmp_path / "pilot.ini"
+    path.write_text(GOOD)
+    settings = load(path)
+    own = settings.planner()
+    assert own.drain_grace == 2_200_000_000 and own.slices == 6
+    assert [c.name for c in own.classes] == ["page", "tally"] and own.channel_limit == 1e12
+    assert settings.store_path() == tmp_path / "state" / "tables.db"
+
+
+def test_all_problems_are_listed_not_the_first(tmp_path):
+    bad = GOOD.replace("2.2 s", "two").replace("limit = 6000", "limit = -1").replace("zone = a\n", "zone = z\n", 1)
+    bad = bad.replace("[list]", "[lsit]").replace("deadline = 4 s", "deadlin = 4 s", 1) + "\n[class third]\naim=1\n"
+    found = problems(tmp_path, bad)
+    text = "\n".join(found)
+    for part in ("[lsit]: is no section", "[rules] drain_grace = 'two'", "[channel] limit = '-1'",
+                 "[class page] deadlin", "[class page] deadline: is missing", "[class third] aim = '1'"):
+        assert part in text, text
+    assert all(";" in line for line in found), "each names a remedy"
+
+
+@pytest.mark.parametrize(("old", "new", "part"), [
+    ("zone = a\n", "zone = q\n", "[pilot] zone = 'q': is not among zones"),
+    ("aim = 1.5 s", "aim = 9 s", "is before the aim"),
+    ("file = servers.ini", "", "[list] file: is missing"),
+    ("source = file", "source = eds", "[list] upstream: is missing"),
+    ("effect = non_idempotent", "effect = idempotency_key", "key_window: is missing"),
+    ("zones = a, b", "zones = a, a", "names one thing twice"),
+    ("[tables]", "[listen]\nxds = 10.0.0.1:80\n[tables]", "is not a loopback address"),
+    ("[tables]", "[tables]\n[tables]", "already exists"),
+    ("slices = 6", "slices = 6\nslices = 7", "already exists"),
+])
+def test_each_problem_names_its_place_and_remedy(tmp_path, old, new, part):
+    assert part in "\n".join(problems(tmp_path, GOOD.replace(old, new, 1)))
+
+
+def test_file_that_cannot_be_read(tmp_path):
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load(tmp_path / "none.ini")
+    (tmp_path / "bytes.ini").write_bytes(b"\xff\xfe\x00")
+    with pytest.raises(SettingsError, match="UTF-8"):
+        load(tmp_path / "bytes.ini")
+
+
+def test_durations_need_a_unit():
+    assert duration("2.5 s") == 2_500_000_000 and duration("250ms") == 250_000_000
+    for text in ("5", "5 apples", "-1 s", "", "1e3 s"):
+        with pytest.raises(ValueError, match="duration"):
+            duration(text)
+
+
+def test_check_command_prints_all_and_says_so_by_its_exit_code(tmp_path):
+    path = tmp_path / "pilot.ini"
+    path.write_text(GOOD.replace("2.2 s", "two").replace("slices = 6", "slices = none"))
+    done = subprocess.run([sys.executable, "-m", "damsonpick", "check", str(path)], capture_output=True, text=True)
+    assert done.returncode == 2 and len(done.stdout.splitlines()) == 2
+    path.write_text(GOOD)
+    done = subprocess.run([sys.executable, "-m", "damsonpick", "check", str(path)], capture_output=True, text=True)
+    assert done.returncode == 0
+
+
+def test_a_days_script_is_checked_whole(tmp_path):
+    path = tmp_path / "day.ini"
+    path.write_text("[day]\nlength = 10\n[class page]\naim = 1 s\n[trouble x]\nkind = plague\nat = 1 s\n[odd]\n")
+    with pytest.raises(SettingsError) as error:
+        script.load(path)
+    for part in ("[day] length", "[class page] deadline", "[trouble x] kind", "[odd]: is no section"):
+        assert part in str(error.value)
--- /dev/null
+++ b/tests/test_xds_hard_cases.py
@@ -0,0 +1,368 @@
+"""The hard cases of the xDS path, through real sockets, with a client that shares nothing with the stand-ins."""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import signal
+import socket
+import threading
+import time
+
+import grpc
+import pytest
+from envoy.service.discovery.v3 import discovery_pb2
+
+from tests.pilots import CDS, EDS, RDS, Client, name, until
+
+both = pytest.mark.parametrize("delta", [True, False], ids=["delta", "sotw"])
+SLICES = [f"slice/{n}" for n in range(6)]
+
+
+def served(client):
+    return lambda: all(client.tables.get(s) for s in SLICES)
+
+
+def gateway(pilot, node="gw"):
+    return next(g for g in pilot.ask("status")["gateways"] if g["gateway"] == node)
+
+
+def drained(pilot, client, n):
+    """Whether server n is out of reach: withdrawn, or in no table."""
+    return name(n) in client.tables.get("fleet", set()) or all(name(n) not in client.tables[s] for s in SLICES)
+
+
+@both
+def test_rejected_table_keeps_last_good_and_drains_still_bind(pilot, clients, delta):
+    client = clients(pilot, delta=delta)
+    client.until(served(client))
+    client.settle()
+    victim = next(s for s in SLICES if name(1) in client.tables[s])
+    good = client.tables[victim]
+    pilot.list(s1="terminating", s2="in_service", s3="in_service")
+    refused, alone = [], 0
+    end = time.monotonic() + 4
+    while time.monotonic() < end:
+        try:
+            got = client.next(0.3)
+        except queue.Empty:
+            continue
+        names = {key: body for key, _, body in client.read(got)}
+        if victim in names:
+            refused.append((len(names), names[victim]))
+            alone += len(names) == 1
+            client.answer(got, bad=f"{victim} will not do")
+        else:
+            client.answer(got)
+    assert refused and good
+    texts = [body for count, body in refused if count == 1]
+    assert alone >= 1 and len(texts) == len(set(texts)), "a text that was refused alone must not come again"
+    assert name(1) in client.tables["fleet"], "the withdrawal binds although a table was refused"
+    shown = until(lambda: gateway(pilot)["rejected"])
+    assert shown == {victim: f"{victim} will not do"}
+    assert pilot.log("rejected")[0]["why"] == f"{victim} will not do"
+    # the next different text is sent, and is taken
+    lines = next(t["lines"] for t in pilot.ask("tables")["tables"] if f"slice/{t['slice']}" == victim)
+    pilot.list(s1="terminated", **{s: "terminating" if name(int(s[1])) in lines else "in_service" for s in ("s2", "s3")})
+    client.until(lambda: not set(lines) & client.tables[victim])
+    client.settle()
+    assert until(lambda: not gateway(pilot)["rejected"])
+
+
+@both
+def test_second_order_before_the_first_is_acknowledged_and_acks_out_of_step(pilot, clients, delta):
+    client = clients(pilot, delta=delta)
+    client.until(served(client))
+    client.settle()
+    pilot.list(s1="terminating", s2="in_service", s3="in_service")
+    held = [client.next()]
+    until(lambda: pilot.log("withdrawn"))
+    pilot.list(s1="terminating", s2="terminating", s3="in_service")
+    end = time.monotonic() + 3
+    while time.monotonic() < end and not drained(pilot, client, 2):
+        try:
+            held.append(client.next(0.2))
+        except queue.Empty:
+            continue
+    assert len(held) >= 2 and drained(pilot, client, 2), "a second order does not wait for the first one's ACK"
+    for got in reversed(held):
+        client.answer(got)
+    client.until(lambda: gateway(pilot)["acknowledged"] == gateway(pilot)["published"])
+
+
+@both
+def test_stale_nonce_is_ignored(pilot, clients, delta):
+    client = clients(pilot, delta=delta)
+    client.until(served(client))
+    last = client.settle() or [None]
+    response = discovery_pb2.DeltaDiscoveryResponse(type_url=EDS) if delta else discovery_pb2.DiscoveryResponse(
+        type_url=EDS)
+    assert last is not None
+    client.answer(response, nonce="99.1.1.1", bad="never sent")
+    until(lambda: pilot.log("stale"))
+    assert not gateway(pilot)["rejected"]
+    pilot.list(s1="terminating", s2="in_service", s3="in_service")
+    client.until(lambda: drained(pilot, client, 1))
+
+
+def test_rejoin_with_older_unknown_and_current_versions_gets_only_what_differs(pilot, clients):
+    client = clients(pilot)
+    client.until(served(client))
+    client.settle()
+    held = dict(client.versions[EDS])
+    client.close()
+    again = clients(pilot, names=False)
+    again.subscribe(EDS, list(held), held | {"slice/3": "0123456789abcdef", "slice/99": "gone"})
+    first = again.next()
+    assert [r.name for r in first.resources] == ["slice/3"]
+    again.answer(first)
+    assert not [r.name for g in again.settle() for r in g.resources if r.name != "slice/3"]
+    assert [j["fresh"] for j in pilot.log("gateway_joined")] == [True, False]
+
+
+def test_rejoin_after_a_kill_gets_only_what_differs(pilot, clients):
+    client = clients(pilot)
+    client.until(served(client))
+    client.settle()
+    before = {t["slice"]: t["lines"] for t in pilot.ask("tables")["tables"]}
+    held = dict(client.versions[EDS])
+    client.close()
+    pilot.stop(signal.SIGKILL)
+    pilot.start()
+    again = clients(pilot, names=False)
+    again.subscribe(EDS, list(held), held)
+    sent = [r.name for g in again.settle() for r in g.resources]
+    after = {t["slice"]: t["lines"] for t in pilot.ask("tables")["tables"]}
+    changed = {f"slice/{n}" for n in after if after[n] != before[n]}
+    assert set(sent) <= changed, "what the store brought back is not sent again"
+    assert all(after.values()) and len(changed) < 6
+
+
+def test_sotw_rejoin_is_sent_all_it_asks_for(pilot, clients):
+    client = clients(pilot, delta=False)
+    client.until(served(client))
+    client.settle()
+    version = client.version[EDS]
+    client.close()
+    again = clients(pilot, delta=False, names=False)
+    again.subscribe(EDS, SLICES, version=version)
+    assert len(again.next().resources) == 6
+    assert pilot.log("gateway_joined")[-1]["fresh"] is False
+
+
+@both
+def test_one_that_never_acknowledges_holds_up_nobody(pilot, clients, delta):
+    silent = clients(pilot, "silent", delta)
+    silent.next()
+    client = clients(pilot, "good", delta)
+    client.until(served(client))
+    states = {"s1": "in_service", "s2": "in_service", "s3": "in_service"}
+    for k in range(12):
+        states["s1"] = "terminating" if k % 2 == 0 else "in_service"
+        pilot.list(**states)
+        client.until(lambda k=k: (name(1) in client.tables["fleet"]) == (k % 2 == 0)
+                     or (k % 2 == 0 and drained(pilot, client, 1)))
+    stuck = gateway(pilot, "silent")
+    assert stuck["unanswered"] <= 4 and stuck["waiting_lines"] < 60
+
+
+class Trickle(threading.Thread):
+    """A relay that lets one byte a second through to its client."""
+
+    def __init__(self, port: int):
+        super().__init__(daemon=True)
+        self.port, self.listener = port, socket.create_server(("127.0.0.1", 0))
+        self.mine = self.listener.getsockname()[1]
+
+    def run(self) -> None:
+        near, _ = self.listener.accept()
+        far = socket.create_connection(("127.0.0.1", self.port))
+        threading.Thread(target=self.back, args=(far, near), daemon=True).start()
+        while data := near.recv(4096):
+            far.sendall(data)
+
+    def back(self, far, near) -> None:
+        free = 600  # the handshake and a little more, so that a stream comes up at all
+        with contextlib.suppress(OSError):  # the client has gone
+            while data := far.recv(free if free > 0 else 1):
+                free -= len(data)
+                near.sendall(data)
+                if free <= 0:
+                    time.sleep(1.0)
+
+
+def test_one_that_reads_a_byte_a_second_holds_up_nobody(pilot, clients):
+    relay = Trickle(pilot.port)
+    relay.start()
+    slow = Client(relay.mine, "slow")
+    slow.subscribe(EDS, ["fleet", *SLICES])
+    until(lambda: [j for j in pilot.log("gateway_joined") if j["gateway"] == "slow"])
+    client = clients(pilot, "good")
+    client.until(served(client))
+    start = time.monotonic()
+    pilot.list(s1="terminating", s2="in_service", s3="in_service")
+    client.until(lambda: drained(pilot, client, 1))
+    assert time.monotonic() - start < 2.0
+    slow.close()
+
+
+def test_one_that_floods_requests_is_ended_and_others_are_served(pilot, clients):
+    flood = clients(pilot, "flood")
+    flood.next()
+    for _ in range(12_000):
+        flood.out.put(discovery_pb2.DeltaDiscoveryRequest(type_url=EDS, resource_names_subscribe=["slice/1"]))
+    ended = until(lambda: next((g for g in iter(lambda: flood.next(), None) if isinstance(g, Exception)), None), 30)
+    assert ended.code() is grpc.StatusCode.RESOURCE_EXHAUSTED
+    client = clients(pilot, "good")
+    client.until(served(client))
+
+
+def test_two_with_one_node_id_are_both_bound(pilot, clients):
+    one, two = clients(pilot, "twin"), clients(pilot, "twin")
+    one.until(served(one))
+    two.until(served(two))
+    until(lambda: pilot.log("node_id_twice"))
+    pilot.list(s1="terminating", s2="in_service", s3="in_service")
+    one.until(lambda: drained(pilot, one, 1))
+    two.until(lambda: drained(pilot, two, 1))
+    assert len(pilot.ask("status")["gateways"]) == 2
+
+
+@pytest.mark.parametrize("garbage", [b"\xff" * 40, b"\x0a\x7f\x01", bytes(range(256)), b"x" * 2_000_000],
+                         ids=["random", "truncated", "all-bytes", "oversized"])
+@pytest.mark.parametrize("method", ["StreamAggregatedResources", "DeltaAggregatedResources"])
+def test_bytes_that_are_no_request_end_their_stream_alone(pilot, clients, garbage, method):
+    client = clients(pilot)
+    client.until(served(client))
+    with grpc.insecure_channel(f"127.0.0.1:{pilot.port}") as channel:
+        call = channel.stream_stream(f"/envoy.service.discovery.v3.AggregatedDiscoveryService/{method}")
+        with pytest.raises(grpc.RpcError) as error:
+            list(call(iter([garbage]), timeout=10))
+    assert error.value.code() in (grpc.StatusCode.INVALID_ARGUMENT, grpc.StatusCode.RESOURCE_EXHAUSTED)
+    pilot.list(s1="terminating", s2="in_service", s3="in_service")
+    client.until(lambda: drained(pilot, client, 1))
+
+
+@both
+def test_unknown_type_is_said_and_the_stream_goes_on(pilot, clients, delta):
+    client = clients(pilot, delta=delta, names=False)
+    client.subscribe("type.googleapis.com/no.such.Type", ["x"])
+    client.subscribe(EDS, SLICES)
+    client.until(served(client))
+    assert pilot.log("unknown_type")[0]["type"] == "type.googleapis.com/no.such.Type"
+
+
+@both
+def test_first_request_without_a_node_is_refused(pilot, clients, delta):
+    client = clients(pilot, node="", delta=delta)
+    assert client.next().code() is grpc.StatusCode.INVALID_ARGUMENT
+
+
+def test_killed_in_the_rush_the_pilot_comes_back_from_its_store(pilot, clients):
+    client = clients(pilot)
+    client.until(served(client))
+    client.settle()
+    before = {t["slice"]: t["lines"] for t in pilot.ask("tables")["tables"]}
+    pilot.stop(signal.SIGKILL)
+    (pilot.folder / "servers.ini").unlink()
+    pilot.start()
+    after = pilot.ask("tables")["tables"]
+    assert {t["slice"]: t["lines"] for t in after} == before
+    again = clients(pilot, names=False)
+    again.subscribe(EDS, SLICES)
+    again.until(served(again))
+    assert len(pilot.ask("status")["endpoints"]) == 3, "the kept list stands in for the missing one"
+
+
+@pytest.mark.parametrize(("text", "what"), [
+    ("", "list_doubted"),
+    ("[server 127.0.0.1:9001]\nzone = a\n[server 127.0.0.1:9001]\nzone = b\n", "list_failed"),
+    ("[server 127.0.0.1:9001]\nstate = asleep\nzone = a\n", "list_failed"),
+], ids=["empty", "contradictory", "unknown state"])
+def test_a_list_that_cannot_be_true_changes_nothing(pilot, clients, text, what):
+    client = clients(pilot)
+    client.until(served(client))
+    client.settle()
+    before = dict(client.tables)
+    pilot.put_list(text)
+    until(lambda: pilot.log(what))
+    client.settle()
+    assert client.tables == before and not pilot.log("withdrawn")
+
+
+def test_list_all_draining_withdraws_all_and_shrinking_to_one_keeps_that_one(pilot, clients):
+    client = clients(pilot)
+    client.until(served(client))
+    pilot.list(s1="in_service", s2="terminated", s3="terminated")
+    client.until(lambda: all(client.tables[s] - client.tables["fleet"] == {name(1)} for s in SLICES))
+    pilot.list(s1="terminating", s2="terminating", s3="terminating")
+    client.until(lambda: drained(pilot, client, 1))
+    pilot.list(s1="in_service", s2="terminating", s3="terminating")
+    client.until(lambda: all(client.tables[s] - client.tables["fleet"] == {name(1)} for s in SLICES))
+
+
+# -- conformance, clause by clause (see docs/design/xds.md)
+
+
+def test_delta_subscribes_unsubscribes_and_subscribes_again(pilot, clients):
+    client = clients(pilot, names=False)
+    client.subscribe(EDS, ["slice/0", "slice/nowhere"])
+    got = client.next()
+    assert {r.name for r in got.resources} <= {"slice/0"} and "slice/nowhere" in got.removed_resources
+    client.answer(got)
+    client.settle()
+    client.out.put(discovery_pb2.DeltaDiscoveryRequest(type_url=EDS, resource_names_subscribe=["slice/0"]))
+    assert [r.name for r in client.next().resources] == ["slice/0"], "asked again, sent again"
+    client.out.put(discovery_pb2.DeltaDiscoveryRequest(type_url=EDS, resource_names_unsubscribe=["slice/0"]))
+    client.out.put(discovery_pb2.DeltaDiscoveryRequest(type_url=EDS, resource_names_subscribe=["slice/1"]))
+    client.settle()
+    pilot.list(s1="terminating", s2="terminating", s3="in_service")
+    until(lambda: pilot.log("withdrawn"))
+    assert all(r.name != "slice/0" for g in client.settle() for r in g.resources)
+
+
+@both
+def test_wildcard_brings_every_cluster_in_one_response(pilot, clients, delta):
+    client = clients(pilot, delta=delta, names=False)
+    client.subscribe(CDS, [])
+    got = client.next()
+    assert len(got.resources) == 7  # six slices and the fleet
+    if delta:
+        client.answer(got)
+        client.out.put(discovery_pb2.DeltaDiscoveryRequest(type_url=EDS, resource_names_subscribe=["*"]))
+        client.until(served(client))
+
+
+@both
+def test_clusters_come_before_endpoints_before_routes(pilot, clients, delta):
+    client = clients(pilot, delta=delta, names=False)
+    for kind, names in ((RDS, ["routes"]), (EDS, SLICES), (CDS, [])):
+        client.subscribe(kind, names)
+    seen = []
+    client.until(lambda: {CDS, EDS, RDS} <= set(client.versions))
+    seen = list(client.versions)
+    assert seen.index(CDS) < seen.index(EDS) or seen[0] == RDS  # requests may be read one by one
+    nonces = [g.nonce for g in client.settle()]
+    assert len(nonces) == len(set(nonces))
+
+
+def test_sotw_names_added_later_are_sent_and_names_left_out_are_not(pilot, clients):
+    client = clients(pilot, delta=False, names=False)
+    client.subscribe(EDS, ["slice/0"])
+    got = client.next()
+    client.names[EDS] = ["slice/0", "slice/1"]
+    client.answer(got)
+    last = client.until(lambda: "slice/1" in client.versions[EDS])[-1]
+    last = (client.settle() or [last])[-1]
+    client.names[EDS] = ["slice/1"]
+    client.answer(last)
+    pilot.list(s1="terminated", s2="terminated", s3="in_service")
+    got = client.until(lambda: client.tables["slice/1"] == {name(3)})
+    assert {key for g in got for key, _, _ in client.read(g)} <= {"slice/1"}
+
+
+def test_two_wildcards_by_sotw_star_and_empty_are_alike(pilot, clients):
+    star, bare = clients(pilot, "x", False, names=False), clients(pilot, "y", False, names=False)
+    star.subscribe(CDS, ["*"])
+    bare.subscribe(CDS, [])
+    assert len(star.next().resources) == len(bare.next().resources) == 7
