--- /dev/null
+++ b/benchmarks/clients.py
@@ -0,0 +1,65 @@
+"""Plain xDS clients for measurements: `python benchmarks/clients.py PORT COUNT delta|sotw SLICES PREFIX`.
+
+Each acknowledges at once. A line on standard output for each response acknowledged: monotonic time,
+client, bytes, resources. Ends when standard input does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+
+import grpc
+from envoy.service.discovery.v3 import discovery_pb2
+
+EDS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+SERVICE = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
+
+
+class Client:
+    def __init__(self, port: int, name: str, delta: bool, slices: int) -> None:
+        self.port, self.name, self.delta = port, name, delta
+        self.names = ["fleet", *(f"slice/{n}" for n in range(slices))]
+
+    def opening(self) -> bytes:
+        kind = discovery_pb2.DeltaDiscoveryRequest if self.delta else discovery_pb2.DiscoveryRequest
+        request = kind(type_url=EDS)
+        request.node.id, request.node.locality.zone = self.name, "a"
+        names = request.resource_names_subscribe if self.delta else request.resource_names
+        names.extend(self.names)
+        return request.SerializeToString()
+
+    def answer(self, body: bytes) -> tuple[bytes, int]:
+        if self.delta:
+            got = discovery_pb2.DeltaDiscoveryResponse.FromString(body)
+            return discovery_pb2.DeltaDiscoveryRequest(
+                type_url=EDS, response_nonce=got.nonce).SerializeToString(), len(got.resources)
+        got = discovery_pb2.DiscoveryResponse.FromString(body)
+        return discovery_pb2.DiscoveryRequest(
+            type_url=EDS, response_nonce=got.nonce, version_info=got.version_info,
+            resource_names=self.names).SerializeToString(), len(got.resources)
+
+    async def run(self) -> None:
+        options = [("grpc.use_local_subchannel_pool", 1), ("grpc.max_receive_message_length", 1 << 26)]
+        async with grpc.aio.insecure_channel(f"127.0.0.1:{self.port}", options) as channel:
+            call = channel.stream_stream(SERVICE + ("DeltaAggregatedResources" if self.delta
+                                                    else "StreamAggregatedResources"))()
+            await call.write(self.opening())
+            while (body := await call.read()) is not grpc.aio.EOF:
+                reply, count = self.answer(body)
+                await call.write(reply)
+                print(f"{time.monotonic()} {self.name} {len(body)} {count} {len(reply)}", flush=True)
+
+
+async def main() -> None:
+    port, count, variant, slices, prefix = sys.argv[1:]
+    clients = [Client(int(port), f"{prefix}-{k}", variant == "delta", int(slices)) for k in range(int(count))]
+    tasks = [asyncio.create_task(c.run()) for c in clients]
+    await asyncio.to_thread(sys.stdin.read)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+asyncio.run(main())
--- a/damsonpick/xds/hub.py
+++ b/damsonpick/xds/hub.py
@@ -116,7 +116,8 @@
             yield {
                 "gateway": session.node, "number": number, "zone": session.zone, "variant": session.variant,
                 "acknowledged": min(self.published.seq, low - 1), "published": self.published.seq,
-                "applied_s": round((now - member.acked_at) / 1e9, 3), "unanswered": session.unanswered(), "waiting_lines": wait.lines,
+                "applied_s": round((now - member.acked_at) / 1e9, 3), "unanswered": session.unanswered(),
+                "waiting_lines": wait.lines,
                 "waiting_s": round((now - wait.ordered) / 1e9, 3) if wait.units else 0.0,
                 "holds": {SHORT[kind]: len(w.held) for kind, w in session.watches.items()},
                 "rejected": dict(session.rejections),
