Advice from outside: weights of a table and a bearable load as events of the module

Deployments without slices get no tables today, and lines of unlike servers weigh alike. Two events carry what is reckoned outside; list, starts, channel and levels bind it as they bind the search, and without them nothing changes.

--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -87,14 +87,26 @@
         self.rates = [0.0] * classes  # requests a second by class, averaged
         self.heard = [0] * classes
         self.warmth: dict[str, float] = {}
+        self.weights: dict[str, float] = {}  # advised from outside; a line without one weighs 1
+        self.laid = False  # advised whole: rounds leave it alone
 
     @property
     def heat(self) -> float:
         return sum(self.rates) + 0.01  # an unheard slice still counts a little
 
+    def part(self, home: str) -> float:
+        """Heat that a home gets."""
+        if not self.weights:
+            return self.heat / len(self.homes)
+        return self.heat * self.wanted(home) / sum(map(self.wanted, self.homes))
+
+    def wanted(self, home: str) -> float:
+        return self.weights.get(home, 1.0)
+
     def astray(self) -> bool:
         """The store does not hold what is wanted."""
-        return self.lines.keys() != dict.fromkeys(self.homes).keys()
+        return (self.lines.keys() != dict.fromkeys(self.homes).keys()
+                or any(self.lines.get(n, w) != w for n, w in self.weights.items()))
 
 
 class Channel:
@@ -171,6 +183,7 @@
         self.restate: list[str] = []  # what a proxy that was away may have missed of it
         self.tick_at = self.round_at = self.judge_at = self.report_at = self.ask_fails = 0
         self.allow, self.best, self.cut_at = math.inf, 0.0, 0  # answers/s allowed, seen at best; last cut
+        self.advised = 0.0  # answers/s that the fleet can give, as reckoned outside; 0: not known
         self.pace, self.admitted = 0.0, 1.0  # best answers/s for each unit of capacity; share let in
         self.changed, self.landed, self.over = True, True, 0.0
         self.out: list[api.Action] = []
@@ -270,6 +283,19 @@
         self.report_at = self.now
         self.span += 0.02 * (event.period - self.span)
 
+    def on_TableAdvised(self, event: api.TableAdvised) -> None:
+        """Exception (no slices, or unlike lines): weights come from outside. List, starts, channel and levels
+        bind them as they bind the search; what they name that is not listed is passed over."""
+        piece = self.slices.get(event.table)
+        if piece is not None:
+            piece.weights = {n: w for n, w in event.lines if n in self.endpoints and 0 < w < math.inf}
+            piece.laid = event.whole and bool(piece.weights)
+            piece.homes = list(piece.weights) if piece.laid else piece.homes
+            self.changed = True
+
+    def on_LoadAdvised(self, event: api.LoadAdvised) -> None:
+        self.advised = event.rate
+
     def barred(self, name: str) -> bool:
         """No proxy may send there: told so by the list. Before a fresh list, the store is trusted."""
         state = self.endpoints[name].state
@@ -303,7 +329,7 @@
         load = dict.fromkeys(names, 0.0)
         for piece in self.slices.values():
             for home in filter(load.__contains__, piece.homes):
-                load[home] += piece.heat / len(piece.homes)
+                load[home] += piece.part(home)
         return load
 
     def evacuate(self) -> None:
@@ -315,9 +341,12 @@
             piece.homes = [h for h in piece.homes if h in cap]
             # Cold endpoints fall over when pushed: what they hold above their share leaves.
             for home in filter(self.tender, list(piece.homes)):
-                heat = piece.heat / len(piece.homes)
+                heat = piece.part(home)
                 over = load[home] > COLD_HEADROOM * mean * cap[home]
-                if over and self.roomiest(cap, load, heat, mean, piece.homes):
+                if over and piece.laid and len(piece.homes) > 1:  # all are homes: the others take its part
+                    piece.homes.remove(home)
+                    load[home] -= heat
+                elif over and self.roomiest(cap, load, heat, mean, piece.homes):
                     piece.homes.remove(home)
                     load[home] -= heat
             if not piece.homes and cap:
@@ -400,6 +429,8 @@
             if self.now - self.cut_at > CUT_HOLD:
                 cut, self.cut_at = max(CUT_LEAST, 1 - CUT_DEPTH * late), self.now
                 self.allow = max(1.0, cut * max(good, KNOWN * self.best))
+        elif late > CALM_LATENCY and self.advised and sum(rates) > self.advised:  # before answers are late
+            self.allow = min(self.allow, max(self.advised, good))
         elif late < CALM_LATENCY:
             sure = self.allow < KNOWN * self.best or late < CALM_LATENCY / 2
             grown = self.allow * (ALLOW_UP if sure else ALLOW_PROBE)
@@ -432,7 +463,7 @@
         fair = mean * max(cap.values(), default=1.0)
         part, budget = self.part(mean, 1.0), max(4, int(ROUND_MESSAGES * self.channel.lines(BALANCE, 0.0)))
         for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
-            have = len(piece.homes)
+            have = len(piece.homes) if not piece.laid else 0
             need = min(3, max(1, math.ceil(piece.heat / (HOT_SHARE * fair))))
             if need > have > 0 < budget and any(load[h] > mean * cap[h] for h in piece.homes):
                 best = self.roomiest(cap, load, piece.heat / (have + 1), part, piece.homes)
@@ -445,7 +476,7 @@
     def orders(self, piece: Slice) -> tuple[int, list[str], list[str]]:
         """How urgent a slice's table is, and the endpoints it gains and loses. New lines go alone where it is
         bare; lines of endpoints that are withdrawn and stay away can wait until nothing else does."""
-        adds = [n for n in piece.homes if piece.lines.get(n) != 1.0]
+        adds = [n for n in piece.homes if piece.lines.get(n) != piece.wanted(n)]
         gone = [n for n in piece.lines if n not in piece.homes and not self.settings.sole_owner]
         if all(self.barred(n) or self.shut.get(n) for n in piece.lines):
             return RULE, adds, []
@@ -482,11 +513,14 @@
         self.changed |= bool(flips)
         self.landed, sole = True, self.settings.sole_owner  # a sole owner's line replaces the old
         for urgency, adds, drops, piece in todo:
+            if piece.laid:  # it may be longer than a message: what fits, and the rest with the next
+                adds = adds[:max(0, int(room[urgency]) - len(lines) - len(drops))]
             if len(lines) + len(adds) + len(drops) <= room[urgency]:
-                lines += [api.SetLine(piece.number, n, 1.0) for n in adds]
+                lines += [api.SetLine(piece.number, n, piece.wanted(n)) for n in adds]
                 lines += [api.SetLine(piece.number, n, 0.0) for n in drops]
                 kept = {n: w for n, w in piece.lines.items() if n not in drops and not sole}
-                piece.lines = kept | dict.fromkeys(piece.homes, 1.0)
+                kept |= {n: piece.wanted(n) for n in piece.homes if n in adds or n in kept or sole}
+                piece.lines = kept
                 if not piece.astray():
                     del self.dirty[piece.number]
             else:
@@ -514,8 +548,10 @@
         self.load = [0.0] * len(place)
         for piece in planner.slices.values():
             for k, home in enumerate(piece.homes):
-                if home in place:
-                    at, heat = place[home], piece.heat / len(piece.homes)
+                if home in place and piece.laid:
+                    self.load[place[home]] += piece.part(home)
+                elif home in place:
+                    at, heat = place[home], piece.part(home)
                     self.on[at].append(len(self.units))
                     self.load[at] += heat
                     self.units.append((piece, k))
--- a/damsonpick/interface.py
+++ b/damsonpick/interface.py
@@ -142,6 +142,20 @@
     weight: float
 
 
+class TableAdvised(NamedTuple):
+    """Weights for a table's lines, reckoned outside the module; `whole`: these lines and no others."""
+
+    table: int
+    lines: tuple[tuple[str, float], ...]
+    whole: bool
+
+
+class LoadAdvised(NamedTuple):
+    """Requests a second that the fleet can answer in time, reckoned outside the module; 0: not known."""
+
+    rate: float
+
+
 class Applied(NamedTuple):
     """A proxy has applied the message that carried this mark."""
 
@@ -152,7 +166,7 @@
 
 Event = (
     ListChanged | TimerFired | ProbeResult | PeerMessage | ProxyJoined | ProxyLeft | EndpointReport
-    | ProxyDemand | SliceDemand | CustodyChanged | StoredLine | Applied
+    | ProxyDemand | SliceDemand | CustodyChanged | StoredLine | TableAdvised | LoadAdvised | Applied
 )
 
 # ---- actions ------------------------------------------------------------------------------------
--- /dev/null
+++ b/damsonpick/solver/latency.py
@@ -0,0 +1,62 @@
+"""Lateness as a convex function of utilisation, cut into straight pieces.
+
+The share of requests that wait past their aim on a server with c cores at utilisation u is taken from
+M/M/c (Erlang's C formula; A. K. Erlang 1917, in any text on queues): P(wait > t) = C(c, u) exp(-c (1-u) t / m).
+What a server loses is u times that share; its lower convex hull over a grid of u is what the linear
+program charges, so that "in time" stands in the objective and not only as a hard cap.
+"""
+
+from __future__ import annotations
+
+import math
+from functools import lru_cache
+
+GRID = tuple(k / 40 for k in range(41))  # utilisation; full at 1
+MOST_PIECES = 8
+
+
+def erlang_c(cores: int, used: float) -> float:
+    """Probability that a request must wait; `used` from 0 to 1."""
+    if used >= 1:
+        return 1.0
+    load, inverse = cores * used, 1.0
+    for k in range(1, cores + 1):  # Erlang's B by its recursion, stable for any number of cores
+        inverse = 1.0 + inverse * k / load if load > 0 else math.inf
+    blocked = 1.0 / inverse
+    return blocked / (1.0 - used * (1.0 - blocked))
+
+
+def late_share(cores: int, used: float, patience: float) -> float:
+    """Share of requests that wait longer than `patience` mean service times."""
+    return erlang_c(cores, used) * math.exp(-cores * (1.0 - min(used, 1.0)) * max(0.0, patience))
+
+
+@lru_cache(maxsize=4096)
+def pieces(cores: int, patience: float) -> tuple[tuple[float, float], ...]:
+    """(width, slope) of the pieces, slopes growing: lost share of capacity by utilisation."""
+    points = [(u, u * late_share(cores, u, patience)) for u in GRID]
+    hull: list[tuple[float, float]] = []
+    for point in points:
+        while len(hull) > 1 and _slope(hull[-2], hull[-1]) >= _slope(hull[-1], point):
+            hull.pop()
+        hull.append(point)
+    while len(hull) - 1 > MOST_PIECES:  # leave out the corner that matters least, keep it convex
+        worst = min(range(1, len(hull) - 1), key=lambda k: _slope(hull[k], hull[k + 1]) - _slope(hull[k - 1], hull[k]))
+        hull.pop(worst)
+    return tuple((b[0] - a[0], _slope(a, b)) for a, b in zip(hull, hull[1:], strict=False))
+
+
+def _slope(a: tuple[float, float], b: tuple[float, float]) -> float:
+    return (b[1] - a[1]) / (b[0] - a[0])
+
+
+def lost(cores: int, patience: float, used: float) -> float:
+    """The cut-up function itself: lost share of capacity at a utilisation up to 1."""
+    total = 0.0
+    for width, slope in pieces(cores, patience):
+        step = min(width, used)
+        total += step * slope
+        used -= step
+        if used <= 0:
+            break
+    return total
