The solver in the running pilot: advisor, worker process, tables without slices

Hand-set weights do not keep up with the fleet. The linear program is asked what the module believes and its answer goes back as advice; solves run in a worker of their own, since HiGHS prints its banner into any shared pipe. Cause found on the way: a peer that ends a call with CANCELLED cancelled the reader's whole task group without a word; client streams now end in one kind of error.

--- a/damsonpick/badday/player.py
+++ b/damsonpick/badday/player.py
@@ -47,9 +47,17 @@
     async with anyio.create_task_group() as group:
         try:
             await stage.build(group)
+            watch = anyio.CancelScope()
+
+            async def watched() -> None:
+                with watch:
+                    await stage.watch()
+
+            group.start_soon(watched)
             for trouble in script.troubles.values():
                 group.start_soon(strike, trouble)
             await stage.wait(script.day.length)
+            watch.cancel()
         finally:
             await stage.end()
         group.cancel_scope.cancel()
@@ -60,7 +68,7 @@
     """The rules' figures from a pilot's settings."""
     r, c = settings.rules, settings.channel
     return Limits(
-        slices=settings.tables.slices, bare=r.bare_limit, grace=r.drain_grace, cold_time=r.cold_time,
+        slices=settings.table_count(), bare=r.bare_limit, grace=r.drain_grace, cold_time=r.cold_time,
         fall_multiple=r.fall_multiple, fall_time=r.fall_time,
         waiting=c.limit if c.lines_per_second else float("inf"), head=c.head, messages=c.messages, window=c.window,
         effects={n: (k.effect, k.key_scope, k.key_window) for n, k in settings.classes.items()})
--- a/damsonpick/badday/script.py
+++ b/damsonpick/badday/script.py
@@ -12,7 +12,7 @@
 from damsonpick.settings.units import Duration, Names
 
 Share = Annotated[float, Field(gt=0, le=1)]
-PILOT_SECTIONS = ("rules", "channel", "reports")  # handed to the pilot as they stand
+PILOT_SECTIONS = ("rules", "channel", "reports", "solver")  # handed to the pilot as they stand
 
 
 class Section(BaseModel):
@@ -28,7 +28,7 @@
     gateways: int = Field(20, ge=1, le=200)
     servers: int = Field(16, ge=1, le=100)
     zones: Names = ("north", "south", "west", "east")
-    slices: int = Field(96, ge=1, le=5000)
+    slices: int = Field(96, ge=0, le=5000)  # 0: a table for each zone and class
     load: Share = 0.5  # of the fleet's capacity, at the start
     cores: int = Field(4, ge=1, le=64)
     notice: Duration = 1_000_000_000  # until the list knows of a change
@@ -51,8 +51,8 @@
     """[trouble NAME]: what goes wrong, when, for how long, and how much. See docs/operators/badday.md."""
 
     kind: Literal["crash", "deploy", "shrink", "slow", "hang", "fast_errors", "hot_key", "zone_cut", "counter_down",
-                  "report_late", "origin_slow", "balancer_stall", "class_fail", "flapping", "preempt",
-                  "pilot_restart", "rush"]
+                  "report_late", "origin_slow", "false_reports", "balancer_stall", "class_fail", "flapping", "preempt",
+                  "pilot_restart", "rush", "half_building"]
     at: Duration
     len: Duration = 10_000_000_000
     part: Share = 0.2
@@ -98,7 +98,7 @@
             raw["pilot"][name] = dict(parser[name])
         else:
             problems.append(Problem(name, "", "", "is no section of a day; it has [day], [class NAME], "
-                                    "[trouble NAME], [rules], [channel] and [reports]"))
+                                    "[trouble NAME], [rules], [channel], [reports] and [solver]"))
     return raw, problems
 
 
--- a/damsonpick/badday/stage.py
+++ b/damsonpick/badday/stage.py
@@ -84,7 +84,8 @@
         for name, kind in self.script.classes.items():
             parts[f"class {name}"] = {
                 "aim": f"{kind.aim} ns", "deadline": f"{kind.deadline} ns", "worth": kind.worth,
-                "effect": kind.effect, "key_scope": kind.key_scope, "key_window": f"{kind.key_window} ns"}
+                "effect": kind.effect, "key_scope": kind.key_scope, "key_window": f"{kind.key_window} ns",
+                "work": f"{kind.work} ns"}
         return "".join(f"[{name}]\n" + "".join(f"{k} = {v}\n" for k, v in keys.items()) + "\n"
                        for name, keys in parts.items())
 
@@ -172,6 +173,12 @@
             await server.start(self.group, cold=True)
             self.later(server, "in_service")
 
+    async def watch(self) -> None:
+        """A gateways' process that ends before its day is a failed day, not a quiet one."""
+        await self.fleet.wait()
+        tail = (self.folder / "fleet.log").read_text()[-800:]
+        raise RuntimeError(f"the gateways' process ended with code {self.fleet.returncode}; the end of its log: {tail}")
+
     async def kill_pilot(self) -> None:
         self.pilot.kill()
         await self.pilot.wait()
--- a/damsonpick/badday/troubles.py
+++ b/damsonpick/badday/troubles.py
@@ -93,6 +93,29 @@
     return strike
 
 
+async def false_reports(stage: Stage, t: Trouble) -> None:
+    """Servers grow `size` times slower and report that they have nothing to do."""
+    struck = stage.some(t.part)
+    for server in struck:
+        server.troubles.slow, server.troubles.lies = t.size, True
+    await stage.wait(t.len)
+    for server in struck:
+        server.troubles.slow, server.troubles.lies = 1.0, False
+
+
+async def half_building(stage: Stage, t: Trouble) -> None:
+    """A building loses half of its servers at once; they come back cold after `len`."""
+    zone = stage.rng.choice(stage.script.day.zones)
+    inside = [s for s in stage.servers if s.make.zone == zone and s.up]
+    struck = stage.rng.sample(inside, len(inside) // 2)
+    for server in struck:
+        server.stop("half of a building lost")
+        stage.later(server, "terminated")
+    await stage.wait(t.len)
+    for server in struck:
+        await stage.restart(server)
+
+
 async def class_fail(stage: Stage, t: Trouble) -> None:
     """One class fails on a part of the servers."""
     kind = stage.rng.choice(sorted(stage.script.classes))
@@ -176,4 +199,6 @@
     "fast_errors": _mark("errors", lambda t: min(1.0, t.size), 0.0), "class_fail": class_fail, "hot_key": hot_key,
     "rush": rush, "zone_cut": zone_cut, "counter_down": counter_down, "report_late": report_late,
     "origin_slow": origin_slow, "balancer_stall": balancer_stall, "pilot_restart": pilot_restart,
+    "false_reports": false_reports,
+    "half_building": half_building,
 }
--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -289,7 +289,7 @@
         piece = self.slices.get(event.table)
         if piece is not None:
             piece.weights = {n: w for n, w in event.lines if n in self.endpoints and 0 < w < math.inf}
-            piece.laid = event.whole and bool(piece.weights)
+            piece.laid = event.whole and (bool(piece.weights) or not event.lines)
             piece.homes = list(piece.weights) if piece.laid else piece.homes
             self.changed = True
 
@@ -343,13 +343,11 @@
             for home in filter(self.tender, list(piece.homes)):
                 heat = piece.part(home)
                 over = load[home] > COLD_HEADROOM * mean * cap[home]
-                if over and piece.laid and len(piece.homes) > 1:  # all are homes: the others take its part
+                if over and (len(piece.homes) > 1 if piece.laid else  # all are homes: the others take its part
+                             self.roomiest(cap, load, heat, mean, piece.homes)):
                     piece.homes.remove(home)
                     load[home] -= heat
-                elif over and self.roomiest(cap, load, heat, mean, piece.homes):
-                    piece.homes.remove(home)
-                    load[home] -= heat
-            if not piece.homes and cap:
+            if not piece.homes and cap and (piece.weights or not piece.laid):  # some tables are to be empty
                 best = self.roomiest(cap, load, piece.heat, mean, None)
                 piece.homes = [best]
                 load[best] += piece.heat
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -167,6 +167,36 @@
            for t in reply["tables"]])
 
 
+@main.group()
+def explain() -> None:
+    """Why things are as they are."""
+
+
+@explain.command()
+@settings_file
+@as_json
+def weights(file: Path, as_json: bool) -> None:
+    """The solver's last plan: each server's share, the limits it stands at, what a core more would be worth.
+
+    `limits`: capacity (full), cold (only a part while it warms), least (kept for its evidence), moves (bound on
+    change). Prices are worth a second for one more unit of work a second. Exit code 3: no pilot answers.
+    """
+    reply = _ask(file, {"ask": "weights"})
+    if as_json:
+        click.echo(json.dumps(reply))
+        return
+    click.echo(f"plan: {reply['status']}" + (f", worth {reply['value']} a second, solved in {reply['solved_in_ms']} ms"
+                                             if "value" in reply else ""))
+    _rows(["class", "let in", "worth shed"], [[c["class"], f"{c['let_in']:.1%}", c["shed_worth"]]
+                                              for c in reply["classes"]])
+    click.echo()
+    _rows(["building", "price of work"], [[b["building"], b["price_of_work"]] for b in reply["buildings"]])
+    click.echo()
+    _rows(["server", "building", "share", "was", "used", "limits", "a core more", "why"],
+          [[s["server"], s["building"], f"{s['share']:.2%}", f"{s['was']:.2%}", f"{s['used']:.0%}",
+            ", ".join(s["limits"]) or "-", s["price_of_a_core"], s["why"]] for s in reply["servers"]])
+
+
 @main.command()
 @click.argument("days", nargs=-1, required=True, type=click.Path(path_type=Path))
 @click.option("--seed", type=int, help="Draws fleet, traffic and who is struck; the script's own if not given.")
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -14,6 +14,7 @@
 from damsonpick.channel.queue import Channel
 from damsonpick.choice import Planner
 from damsonpick.daemon import control
+from damsonpick.daemon.solving import Solving
 from damsonpick.engine.clock import Clock
 from damsonpick.engine.core import Engine
 from damsonpick.evidence.sums import Evidence, GatewaySums
@@ -22,6 +23,7 @@
 from damsonpick.roster.redial import Redial
 from damsonpick.roster.upstream import UpstreamSource
 from damsonpick.settings.model import PilotSettings
+from damsonpick.solver.advice import Advisor
 from damsonpick.store.sqlite import Store
 from damsonpick.tables.published import Published
 from damsonpick.xds.hub import Hub
@@ -39,25 +41,32 @@
         settings: checked settings.
         log: a structlog logger.
         make: how a planner is made; tests hand in ones that fail.
+        advisor: how an advisor is made; benchmarks hand in a hand-made weighting.
+        solve: replaces the solver's work; tests hand in slow and failing ones.
     """
 
     def __init__(self, settings: PilotSettings, log: Any,
-                 make: Callable[[api.Settings, int], Planner] = Planner) -> None:
+                 make: Callable[[api.Settings, int], Planner] = Planner, advisor: Callable = Advisor,
+                 solve: Callable | None = None) -> None:
         s = self.settings = settings
         self.log = log
         self.clock = Clock(s.pilot.clock_rate)
-        self.store = Store(s.store_path(), s.tables.slices)
+        count = s.table_count()
+        self.store = Store(s.store_path(), count)
         self.epoch = self.store.epoch()
-        self.published = Published(tuple(s.classes), s.tables.slices)
+        self.published = Published(tuple(s.classes), count)
         self.roster = Roster(s.pilot.zones)
         c = s.channel
         self.channel = Channel(c.lines_per_second, c.head, c.limit, c.messages, c.window)
         self.catalogue = Catalogue(self.published, s, lambda endpoint: self.roster.places.get(endpoint, ""))
         self.hub = Hub(self.published, self.catalogue, self.channel, self.store.gateway)
         self.engine = Engine(s, self.store, self.published, self.hub, self.roster, log, make)
-        self.evidence = Evidence(tuple(s.classes), s.tables.slices, s.reports.every, s.reports.oldest)
+        self.evidence = Evidence(tuple(s.classes), count, s.reports.every, s.reports.oldest)
         self.bell = anyio.Event()
         self.xds = XdsServer(self.hub, self.epoch, self.clock.now, self.stir, self._hear, s.reports.every, log)
+        self.advisor = advisor(s, lambda endpoint: self.roster.places.get(endpoint, ""))
+        more = {"solve": solve} if solve else {}
+        self.solving = Solving(self.advisor, self.engine, self.clock, self.stir, log, **more)
         self.port = 0
         self.list_said = "nothing yet"
 
@@ -72,6 +81,7 @@
         """The pilot serves while the block runs, and ends in order after it."""
         self.engine.start(self.clock.now())
         self.evidence.known = set(self.roster.entries)
+        s = self.settings
         server, self.port = await self.xds.start(self.settings.listen.xds, self.settings.listen.largest_request)
         self.log.info("pilot_started", name=self.settings.pilot.name, port=self.port, epoch=self.epoch,
                       slices=len(self.engine.owned), listed=len(self.roster.entries))
@@ -82,6 +92,8 @@
                 group.start_soon(self._reports)
                 group.start_soon(self._custody)
                 group.start_soon(self._drive)
+                if s.solved:
+                    group.start_soon(self.solving.run)
                 yield group
                 group.cancel_scope.cancel()
         finally:
@@ -137,6 +149,9 @@
                 self._known(verdict.event)
                 self.engine.relocate(self.clock.now(), self.roster.moved(verdict.event.entries))
                 self.engine.tell(verdict.event)
+                if self.settings.solved:
+                    self.engine.step(self.clock.now())
+                    self.solving.first()
         self.stir()
 
     def _known(self, event: api.ListChanged) -> None:
@@ -184,7 +199,10 @@
             return self._status()
         if what == "tables":
             return self._tables(request.get("slices"))
-        return {"error": f"unknown question {what!r}; ask status or tables"}
+        if what == "weights":
+            return self.advisor.explain() if self.settings.solved else {
+                "error": "the solver has nothing to do here; see [solver] in docs/operators/weights.md"}
+        return {"error": f"unknown question {what!r}; ask status, tables or weights"}
 
     def _status(self) -> dict[str, Any]:
         now = self.clock.now()
--- /dev/null
+++ b/damsonpick/daemon/solving.py
@@ -0,0 +1,89 @@
+"""The solver beside the loop: a worker process, so that orders never wait for a solve."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from damsonpick.daemon.worker import Worker
+from damsonpick.engine.clock import Clock
+from damsonpick.engine.core import Engine
+from damsonpick.solver import work
+from damsonpick.solver.advice import Advisor
+
+LOOK = 100_000_000  # ns between looks at whether a solve is due
+START = 5.0  # real s that the worker process may take to start, beside the limit of the solve
+
+
+class Solving:
+    """Runs solves while the engine goes on.
+
+    Args:
+        advisor: what to ask and tell.
+        solve, solve_lines: run in the worker; tests hand in slow or failing ones.
+    """
+
+    def __init__(self, advisor: Advisor, engine: Engine, clock: Clock, stir: Callable[[], None], log: Any,
+                 solve: Callable = work.solve, solve_lines: Callable = work.solve_lines) -> None:
+        self.advisor, self.engine, self.clock, self.stir, self.log = advisor, engine, clock, stir, log
+        self.solve, self.solve_lines = solve, solve_lines
+        self.planner: object = None
+        self.worker = Worker()
+
+    def first(self) -> None:
+        """Tables at once, before any solve; and all advice again to a planner that was started over."""
+        planner = self.engine.planner
+        if planner is None:
+            return
+        if planner is not self.planner:
+            self.planner = planner
+            self.engine.tell(*self.advisor.again())
+        events = self.advisor.stopgap(planner)
+        if events:
+            self.engine.tell(*events)
+            self.stir()
+
+    async def run(self) -> None:
+        try:
+            while True:
+                await anyio.sleep(self.clock.seconds(LOOK))
+                self.first()
+                planner, now = self.engine.planner, self.clock.now()
+                if planner is not None and planner.endpoints and self.advisor.due(now, planner):
+                    self.advisor.begin(now, planner)
+                    await self._once()
+        finally:
+            await self.worker.end()
+
+    async def _once(self) -> None:
+        """One solve; the last good weights stay if it does not end well."""
+        settings, planner = self.advisor.settings, self.engine.planner
+        limit = settings.solver.time_limit / 1e9
+        lines = settings.tables.slices > 0
+        problem = self.advisor.lines_problem(planner) if lines else self.advisor.problem(planner)
+        try:
+            spare = START if self.worker.process is None else 0.0
+            result = await self.worker.call(self.solve_lines if lines else self.solve, problem, limit,
+                                            limit=limit + spare)
+        except (TimeoutError, RuntimeError, OSError) as error:
+            self._failed("took too long" if isinstance(error, TimeoutError) else str(error))
+            return
+        if lines:
+            events = self.advisor.accept_lines(result)
+        elif result.status != "optimal":
+            self._failed(result.status)
+            return
+        else:
+            events = self.advisor.accept(result)
+        if events:
+            self.log.info("weights", tables=len(events), **({} if lines else {
+                "value": round(result.value, 2), "ms": round(result.seconds * 1e3, 1),
+                "let_in": {k: round(v, 3) for k, v in result.let_in.items()}}))
+            self.engine.tell(*events)
+            self.stir()
+
+    def _failed(self, why: str) -> None:
+        self.advisor.failed(self.clock.now(), why)
+        self.log.warning("solver_failed", why=why, weights="the last good ones stay", failures=self.advisor.fails)
--- a/damsonpick/roster/upstream.py
+++ b/damsonpick/roster/upstream.py
@@ -18,6 +18,7 @@
 from damsonpick import interface as api
 from damsonpick.roster.listfile import ListError
 from damsonpick.roster.redial import Redial
+from damsonpick.wire import calls
 
 EDS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 METADATA, STARTED = "damsonpick", "started"
@@ -79,9 +80,8 @@
             try:
                 async for said in self._stream():
                     yield said
-                why = "the stream ended"
-            except grpc.aio.AioRpcError as error:
-                why = f"{error.code().name}: {error.details()}"
+            except calls.StreamEnded as error:
+                why = str(error)
             yield ListError(f"upstream list at {self.address}: {why}; it is dialled again")
             await anyio.sleep(self.redial.failed())
 
@@ -89,9 +89,10 @@
         options = [("grpc.keepalive_time_ms", 5000), ("grpc.keepalive_timeout_ms", 3000)]
         async with grpc.aio.insecure_channel(self.address, options) as channel:
             call = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).StreamAggregatedResources()
-            await call.write(self._request())
+            await calls.write(call, self._request())
             version = ""
-            while (response := await call.read()) is not grpc.aio.EOF:
+            while True:
+                response = await calls.read(call)
                 self.redial.succeeded()
                 try:
                     found = [self._unpack(body) for body in response.resources]
@@ -99,10 +100,10 @@
                         if assignment.cluster_name == self.cluster:
                             yield read(assignment)
                     version = response.version_info
-                    await call.write(self._request(version, response.nonce))
+                    await calls.write(call, self._request(version, response.nonce))
                 except ListError as error:
                     yield error
-                    await call.write(self._request(version, response.nonce, str(error)))
+                    await calls.write(call, self._request(version, response.nonce, str(error)))
 
     def _unpack(self, body: object) -> endpoint_pb2.ClusterLoadAssignment:
         assignment = endpoint_pb2.ClusterLoadAssignment()
--- a/damsonpick/settings/load.py
+++ b/damsonpick/settings/load.py
@@ -10,7 +10,7 @@
 
 from damsonpick.settings import model
 
-SECTIONS = ("pilot", "listen", "tables", "rules", "channel", "reports", "list", "log")
+SECTIONS = ("pilot", "listen", "tables", "rules", "channel", "reports", "list", "solver", "log")
 
 
 class Problem(NamedTuple):
@@ -132,6 +132,13 @@
         if kind.effect == "idempotency_key" and not kind.key_window:
             found.append(Problem(f"class {name}", "key_window", "", "is missing; a keyed class needs the time "
                                  "for which servers remember a key"))
+        if s.solved and not kind.work:
+            found.append(Problem(f"class {name}", "work", "", "is missing; the solver needs the mean core time "
+                                 "of a request, such as 300 ms"))
+    for one, other, _ in s.solver.pairs:
+        for zone in (one, other):
+            if zone not in s.pilot.zones:
+                found.append(Problem("solver", "pairs", zone, "is not among the zones; correct the name"))
     if s.rules.fall_multiple * s.rules.cold_share < 0.05:
         found.append(Problem("rules", "cold_share", str(s.rules.cold_share), "times fall_multiple is under a "
                              "twentieth of a server: no cold server could be given work; check both"))
--- a/damsonpick/settings/model.py
+++ b/damsonpick/settings/model.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from damsonpick import interface as api
-from damsonpick.settings.units import Address, Duration, Names
+from damsonpick.settings.units import Address, Duration, Names, Pairs
 
 
 class Section(BaseModel):
@@ -36,7 +36,7 @@
 class Tables(Section):
     """[tables]: how keys are cut and how gateways pick."""
 
-    slices: int = Field(ge=1, le=65_000)
+    slices: int = Field(ge=0, le=65_000)  # 0: no slices, a table for each zone of gateways and class
     pick: Literal["pair", "wheel", "lottery"] = "pair"
     sole_owner: bool = False
     admission: Literal["ratio", "none"] = "ratio"
@@ -85,6 +85,21 @@
     poll: Duration = 200_000_000
 
 
+class Solver(Section):
+    """[solver]: weights solved under capacity and cost. Costs are worth for each core-second of work."""
+
+    every: Duration = 2_000_000_000
+    time_limit: Duration = 1_000_000_000
+    lines: bool = False  # also weigh the lines of slices with several homes
+    levels: bool = False  # also tell the module what load the fleet bears
+    cross: float = Field(0.02, ge=0)  # between buildings
+    pairs: Pairs = ()  # between named ones: from>to price, ...
+    move: float = Field(0.05, ge=0)
+    least: float = Field(0.1, ge=0, le=0.5)  # of an even share, kept by every server
+    bound: float = Field(0.2, gt=0, le=1)  # share of all work that may move in one plan
+    margin: float = Field(0.1, ge=0, le=1)  # how far demand may be above its estimate
+
+
 class Logs(Section):
     """[log]: structured logs on standard error."""
 
@@ -102,6 +117,9 @@
     key_scope: Literal["all", "zone", "cell"] = "all"
     key_window: Duration = 0
     writes: bool = False
+    work: Duration = 0  # mean core time at speed 1; the solver needs it
+    late_worth: float = Field(0.1, ge=0)  # of an answer after the aim
+    own_zone: bool = False  # may go only to servers in the gateway's zone
 
 
 class PilotSettings(Section):
@@ -112,9 +130,19 @@
     channel: Channel
     reports: Reports = Reports()
     list: ListSource
+    solver: Solver = Solver()
     log: Logs = Logs()
     classes: dict[str, RequestClass]
 
+    @property
+    def solved(self) -> bool:
+        """Whether the solver has anything to do."""
+        return not self.tables.slices or self.solver.lines or self.solver.levels
+
+    def table_count(self) -> int:
+        """Tables published: slices, or one for each zone and class."""
+        return self.tables.slices or len(self.pilot.zones) * len(self.classes)
+
     def store_path(self) -> Path:
         return self.pilot.state / "tables.db"
 
@@ -129,7 +157,7 @@
             instance=instance, instances=instances, zone=self.pilot.zone,
             classes=tuple(api.RequestClass(n, k.aim, k.deadline, k.effect, k.key_scope, k.key_window, k.worth)
                           for n, k in self.classes.items()),
-            slices=self.tables.slices, proxies=proxies, sole_owner=self.tables.sole_owner,
+            slices=self.table_count(), proxies=proxies, sole_owner=self.tables.sole_owner,
             admission=self.tables.admission, subscribe=False, ask_every=0,
             channel_rate=1e12 if wide else c.lines_per_second, channel_limit=1e12 if wide else c.limit,
             message_overhead=c.head, messages_per_window=c.messages, message_window=c.window,
--- a/damsonpick/settings/units.py
+++ b/damsonpick/settings/units.py
@@ -47,6 +47,20 @@
     return items
 
 
+def pairs(text: object) -> tuple[tuple[str, str, float], ...]:
+    """'north>south 0.05, south>north 0.02': a price for each ordered pair."""
+    if isinstance(text, tuple):
+        return text
+    found = []
+    for part in filter(None, (p.strip() for p in str(text).split(","))):
+        match = re.fullmatch(r"(\S+?)\s*>\s*(\S+)\s+([0-9.]+)", part)
+        if not match:
+            raise ValueError("is no list of pairs; write from>to price, such as north>south 0.05")
+        found.append((match[1], match[2], float(match[3])))
+    return tuple(found)
+
+
 Duration = Annotated[int, BeforeValidator(duration)]
 Address = Annotated[str, BeforeValidator(address)]
 Names = Annotated[tuple[str, ...], BeforeValidator(names)]
+Pairs = Annotated[tuple[tuple[str, str, float], ...], BeforeValidator(pairs)]
--- a/damsonpick/solver/latency.py
+++ b/damsonpick/solver/latency.py
@@ -10,6 +10,7 @@
 
 import math
 from functools import lru_cache
+from itertools import pairwise
 
 GRID = tuple(k / 40 for k in range(41))  # utilisation; full at 1
 MOST_PIECES = 8
@@ -41,9 +42,10 @@
             hull.pop()
         hull.append(point)
     while len(hull) - 1 > MOST_PIECES:  # leave out the corner that matters least, keep it convex
-        worst = min(range(1, len(hull) - 1), key=lambda k: _slope(hull[k], hull[k + 1]) - _slope(hull[k - 1], hull[k]))
+        bends = [_slope(hull[k], hull[k + 1]) - _slope(hull[k - 1], hull[k]) for k in range(1, len(hull) - 1)]
+        worst = 1 + bends.index(min(bends))
         hull.pop(worst)
-    return tuple((b[0] - a[0], _slope(a, b)) for a, b in zip(hull, hull[1:], strict=False))
+    return tuple((b[0] - a[0], _slope(a, b)) for a, b in pairwise(hull))
 
 
 def _slope(a: tuple[float, float], b: tuple[float, float]) -> float:
--- a/damsonpick/standins/fleet.py
+++ b/damsonpick/standins/fleet.py
@@ -30,14 +30,16 @@
         self.shares = [k["share"] for k in self.kinds]
         count = setup["slices"]
         self.weights = [rng.lognormvariate(0.0, 0.6) for _ in range(count)]
-        self.slices = range(count)
+        self.slices = range(count)  # none: tables by zone and class
         self.hot: list[int] = []
         self.hot_share, self.factor = 0.0, 1.0
 
     def draw(self) -> tuple[dict[str, Any], int, float]:
         """Class, slice and work in ms of one request."""
         kind = self.rng.choices(self.kinds, self.shares)[0]
-        if self.hot and self.rng.random() < self.hot_share:
+        if not self.slices:
+            number = -1
+        elif self.hot and self.rng.random() < self.hot_share:
             number = self.rng.choice(self.hot)
         else:
             number = self.rng.choices(self.slices, self.weights)[0]
@@ -102,11 +104,12 @@
         drawn, at, work = self.demand.draw()
         kind = self.kinds[drawn["name"]]
         start = self.clock.now()
-        good, how = await gateway.serve(f"r{number}", kind, f"slice/{at}", work)
+        cluster = f"slice/{at}" if at >= 0 else gateway.holdings.clusters.get((kind.name, gateway.zone), "slice/-1")
+        good, how = await gateway.serve(f"r{number}", kind, cluster, work)
         again = how in ("refused", "no server", "never ran") or kind.effect == "read_like"
         if not good and again and self.clock.now() - start < kind.deadline / 2:
             await anyio.sleep(BACK_AFTER / self.clock.rate)
-            good, how = await gateway.serve(f"r{number}b", kind, f"slice/{at}", work)
+            good, how = await gateway.serve(f"r{number}b", kind, cluster, work)
         self.record.put("done", gw=gateway.name, id=f"r{number}", kind=kind.name, ok=good, how=how, begun=start,
                         ms=round((self.clock.now() - start) / 1e6), aim=kind.aim // 1_000_000, worth=drawn["worth"])
 
--- a/damsonpick/standins/gateway.py
+++ b/damsonpick/standins/gateway.py
@@ -17,6 +17,7 @@
 from damsonpick.standins.holdings import Asker, Bad, Holdings
 from damsonpick.standins.picking import Picker
 from damsonpick.standins.record import Recorder
+from damsonpick.wire import calls
 from damsonpick.xds import loads
 from damsonpick.xds.names import CDS, EDS, RDS, slice_of
 
@@ -84,9 +85,7 @@
             if address and self.links.to_pilot(self.name, self.zone):
                 try:
                     await self._session(address)
-                except* grpc.aio.AioRpcError:
-                    pass
-                except* (EOFError, anyio.ClosedResourceError):
+                except* calls.StreamEnded:
                     pass
                 self.record.put("stream", gw=self.name, up=False)
             await anyio.sleep(self.redial.failed() / self.clock.rate)
@@ -96,7 +95,7 @@
             stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
             call = stub.DeltaAggregatedResources() if self.delta else stub.StreamAggregatedResources()
             asker = Asker(self.holdings, self.name, self.zone, self.delta)
-            await call.write(asker.opening(CDS, [], self.version.get(CDS, "")))
+            await calls.write(call, asker.opening(CDS, [], self.version.get(CDS, "")))
             async with anyio.create_task_group() as group:
                 group.start_soon(self._report, channel)
                 group.start_soon(self._watch_links, group.cancel_scope)
@@ -111,7 +110,8 @@
 
     async def _read(self, call: Any, asker: Asker) -> None:
         begun = False
-        while (response := await call.read()) is not grpc.aio.EOF:
+        while True:
+            response = await calls.read(call)
             await self._stand_still(self.read_delay)
             kind, resources, removed = asker.read(response)
             bad = ""
@@ -123,15 +123,15 @@
             except Bad as error:
                 bad = str(error)
             self._record(kind, response.nonce, resources, removed, bad)
-            await call.write(asker.verdict(response, bad))
+            await calls.write(call, asker.verdict(response, bad))
             if not begun and kind == CDS:
                 begun = True
                 self.redial.succeeded()
                 names = sorted(self.holdings.versions[CDS])
                 self.record.put("stream", gw=self.name, up=True, zone=self.zone, fresh=not self.seen)
                 self.seen = True
-                await call.write(asker.opening(EDS, names, self.version.get(EDS, "")))
-                await call.write(asker.opening(RDS, ["routes"], self.version.get(RDS, "")))
+                await calls.write(call, asker.opening(EDS, names, self.version.get(EDS, "")))
+                await calls.write(call, asker.opening(RDS, ["routes"], self.version.get(RDS, "")))
 
     def _record(self, kind: str, nonce: str, resources: list, removed: list[str], bad: str) -> None:
         shown: dict[str, Any] = {}
@@ -149,10 +149,8 @@
         first = loads.write(1, {})
         first.node.id, first.node.locality.zone = self.name, self.zone
         del first.cluster_stats[:]
-        await call.write(first)
-        wanted = await call.read()
-        if wanted is grpc.aio.EOF:
-            return
+        await calls.write(call, first)
+        wanted = await calls.read(call)
         self.counts, since = {}, self.clock.now()
         while True:
             await anyio.sleep(self.clock.seconds(wanted.load_reporting_interval.ToNanoseconds()))
@@ -161,7 +159,7 @@
             self.counts, since = {}, now
             if self.report_delay:
                 await anyio.sleep(self.clock.seconds(self.report_delay))
-            await call.write(report)
+            await calls.write(call, report)
 
     async def _stand_still(self, extra: int = 0) -> None:
         wait = max(self.stalled_until - self.clock.now(), 0) + extra
--- a/damsonpick/standins/holdings.py
+++ b/damsonpick/standins/holdings.py
@@ -38,16 +38,18 @@
     return Table(lines, levels)
 
 
-def read_retries(body: bytes) -> dict[tuple[str, str], tuple[str, int]]:
-    """(class, cluster or '') to (conditions, further tries)."""
-    result = {}
+def read_routes(body: bytes) -> tuple[dict[tuple[str, str], tuple[str, int]], dict[tuple[str, str], str]]:
+    """(class, cluster or '') to (conditions, further tries); (class, zone) to a cluster where there are no slices."""
+    result, clusters = {}, {}
     for host in route_pb2.RouteConfiguration.FromString(body).virtual_hosts:
         for route in host.routes:
             asked = {h.name: h.string_match.exact for h in route.match.headers}
             policy = route.route.retry_policy
-            result[asked.get("x-damson-class", ""), asked.get("x-damson-cluster", "")] = (
-                policy.retry_on, policy.num_retries.value)
-    return result
+            kind, cluster = asked.get("x-damson-class", ""), asked.get("x-damson-cluster", "") or route.route.cluster
+            result[kind, cluster] = (policy.retry_on, policy.num_retries.value)
+            if "x-damson-zone" in asked:
+                clusters[kind, asked["x-damson-zone"]] = cluster
+    return result, clusters
 
 
 class Holdings:
@@ -57,6 +59,7 @@
         self.versions: dict[str, dict[str, str]] = {CDS: {}, EDS: {}, RDS: {}}
         self.tables: dict[str, Table] = {}
         self.retries: dict[tuple[str, str], tuple[str, int]] = {}
+        self.clusters: dict[tuple[str, str], str] = {}
         self.picks: dict[str, int] = {}
         self.strikes = 0
         self.refuse: set[str] = set()  # names that it is told not to take
@@ -75,7 +78,7 @@
             if kind == EDS:
                 self.tables[name] = read_table(body)
             elif kind == RDS:
-                self.retries = read_retries(body)
+                self.retries, self.clusters = read_routes(body)
             else:
                 cluster = cluster_pb2.Cluster.FromString(body)
                 self.picks[name] = cluster.lb_policy
--- a/damsonpick/standins/results.py
+++ b/damsonpick/standins/results.py
@@ -39,7 +39,7 @@
     """What is wrong with a server now."""
 
     def __init__(self) -> None:
-        self.slow, self.hang, self.errors = 1.0, False, 0.0
+        self.slow, self.hang, self.errors, self.lies = 1.0, False, 0.0, False
         self.failing: set[str] = set()  # classes
 
 
@@ -128,7 +128,8 @@
         except BaseException:
             self.waiting = max(0, self.waiting)
             raise
-        load = f"TEXT named_metrics.queue={self.waiting}, named_metrics.latency_ms={self.last_ms:.0f}"
+        queue, ms = (0, 1) if trouble.lies else (self.waiting, round(self.last_ms))
+        load = f"TEXT named_metrics.queue={queue}, named_metrics.latency_ms={ms}"
         return http.Answer(200, {"endpoint-load-metrics": load}, b"ok")
 
     def _pushed_over(self, now: int, work: float) -> bool:
--- /dev/null
+++ b/damsonpick/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Small helps for the client half of gRPC streams."""
--- a/damsonpick/xds/names.py
+++ b/damsonpick/xds/names.py
@@ -9,7 +9,7 @@
 SHORT = {CDS: "CDS", EDS: "EDS", RDS: "RDS"}
 ADS_SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 LRS_SERVICE = "envoy.service.load_stats.v3.LoadReportingService"
-CLASS_HEADER, CLUSTER_HEADER = "x-damson-class", "x-damson-cluster"
+CLASS_HEADER, CLUSTER_HEADER, ZONE_HEADER = "x-damson-class", "x-damson-cluster", "x-damson-zone"
 
 
 def slice_of(cluster: str) -> int:
--- a/damsonpick/xds/resources.py
+++ b/damsonpick/xds/resources.py
@@ -22,7 +22,7 @@
 
 from damsonpick.settings.model import PilotSettings
 from damsonpick.tables.published import FLEET, ROUTES, Published
-from damsonpick.xds.names import CDS, CLASS_HEADER, CLUSTER_HEADER, EDS, RDS, slice_of
+from damsonpick.xds.names import CDS, CLASS_HEADER, CLUSTER_HEADER, EDS, RDS, ZONE_HEADER, slice_of
 
 WEIGHT = 1000  # xDS weights are whole numbers: one line of weight 1 is this many
 MILLION = 1_000_000
@@ -144,7 +144,17 @@
         said = {place[1] for place in self.published.retries if place[0] is None}
         order += [((None, k), 0) for k in range(len(self.published.classes)) if k not in said]
         for (table, k), mode in order:
-            host.routes.append(self._route(table, k, mode))
+            if self.settings.tables.slices:
+                host.routes.append(self._route(table, k, mode))
+                continue
+            for place, zone in enumerate(self.settings.pilot.zones):  # no slices: zone and class name the table
+                number = place * len(self.published.classes) + k
+                if table in (None, number):
+                    route = self._route(None, k, mode)
+                    route.name += f"/{zone}"
+                    route.match.headers.add(name=ZONE_HEADER).string_match.exact = zone
+                    route.route.cluster = f"slice/{number}"
+                    host.routes.append(route)
         return config
 
     def _route(self, table: int | None, k: int, mode: int) -> route_components_pb2.Route:
