--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -343,7 +343,7 @@
             for home in filter(self.tender, list(piece.homes)):
                 heat = piece.part(home)
                 over = load[home] > COLD_HEADROOM * mean * cap[home]
-                if over and (len(piece.homes) > 1 if piece.laid else  # all are homes: the others take its part
+                if over and (len(piece.homes) > 1 if piece.laid else  # all are homes, others take its part
                              self.roomiest(cap, load, heat, mean, piece.homes)):
                     piece.homes.remove(home)
                     load[home] -= heat
--- a/damsonpick/daemon/solving.py
+++ b/damsonpick/daemon/solving.py
@@ -58,25 +58,16 @@
             await self.worker.end()
 
     async def _once(self) -> None:
-        """One solve; the last good weights stay if it does not end well."""
-        settings, planner = self.advisor.settings, self.engine.planner
-        limit = settings.solver.time_limit / 1e9
-        lines = settings.tables.slices > 0
-        problem = self.advisor.lines_problem(planner) if lines else self.advisor.problem(planner)
+        """One solve; the last good weights stay if it does not end well, whatever went wrong."""
+        lines = self.advisor.settings.tables.slices > 0
         try:
-            spare = START if self.worker.process is None else 0.0
-            result = await self.worker.call(self.solve_lines if lines else self.solve, problem, limit,
-                                            limit=limit + spare)
-        except (TimeoutError, RuntimeError, OSError) as error:
-            self._failed("took too long" if isinstance(error, TimeoutError) else str(error))
-            return
-        if lines:
-            events = self.advisor.accept_lines(result)
-        elif result.status != "optimal":
-            self._failed(result.status)
+            result = await self._ask(lines)
+            if not lines and result.status != "optimal":
+                raise ArithmeticError(result.status)
+            events = self.advisor.accept_lines(result) if lines else self.advisor.accept(result)
+        except Exception as error:
+            self._failed("took too long" if isinstance(error, TimeoutError) else f"{error}" or repr(error))
             return
-        else:
-            events = self.advisor.accept(result)
         if events:
             self.log.info("weights", tables=len(events), **({} if lines else {
                 "value": round(result.value, 2), "ms": round(result.seconds * 1e3, 1),
@@ -84,6 +75,14 @@
             self.engine.tell(*events)
             self.stir()
 
+    async def _ask(self, lines: bool) -> Any:
+        """What the worker answers to the problem of this moment."""
+        planner, limit = self.engine.planner, self.advisor.settings.solver.time_limit / 1e9
+        spare = START if self.worker.process is None else 0.0
+        task = self.solve_lines if lines else self.solve
+        problem = self.advisor.lines_problem(planner) if lines else self.advisor.problem(planner)
+        return await self.worker.call(task, problem, limit, limit=limit + spare)
+
     def _failed(self, why: str) -> None:
         self.advisor.failed(self.clock.now(), why)
         self.log.warning("solver_failed", why=why, weights="the last good ones stay", failures=self.advisor.fails)
--- a/damsonpick/solver/latency.py
+++ b/damsonpick/solver/latency.py
@@ -42,8 +42,8 @@
             hull.pop()
         hull.append(point)
     while len(hull) - 1 > MOST_PIECES:  # leave out the corner that matters least, keep it convex
-        bends = [_slope(hull[k], hull[k + 1]) - _slope(hull[k - 1], hull[k]) for k in range(1, len(hull) - 1)]
-        worst = 1 + bends.index(min(bends))
+        gaps = [_gap(*hull[k - 1:k + 2]) for k in range(1, len(hull) - 1)]
+        worst = 1 + gaps.index(min(gaps))
         hull.pop(worst)
     return tuple((b[0] - a[0], _slope(a, b)) for a, b in pairwise(hull))
 
@@ -52,6 +52,11 @@
     return (b[1] - a[1]) / (b[0] - a[0])
 
 
+def _gap(a: tuple[float, float], b: tuple[float, float], c: tuple[float, float]) -> float:
+    """How far the straight line from a to c lies above b."""
+    return a[1] + _slope(a, c) * (b[0] - a[0]) - b[1]
+
+
 def lost(cores: int, patience: float, used: float) -> float:
     """The cut-up function itself: lost share of capacity at a utilisation up to 1."""
     total = 0.0
--- a/tests/pilots.py
+++ b/tests/pilots.py
@@ -199,9 +199,11 @@
             assert time.monotonic() < end, f"not within {patience} s; got {len(got)} responses"
             try:
                 got.append(self.next(0.2))
-                self.answer(got[-1])
+                if not isinstance(got[-1], Exception):
+                    self.answer(got[-1])
             except queue.Empty:
                 continue
+            assert not isinstance(got[-1], Exception), got[-1]
         return got
 
     def close(self) -> None:
