A proxy of our own: choice, further tries, admission, pools, strict HTTP/1.1, kept tables

Tests and small sites need a data plane that obeys published tables exactly. Decisions are sans-I/O; the relay is a thin shell on anyio with httptools.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each file says how to run it."""
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -167,6 +167,31 @@
            for t in reply["tables"]])
 
 
+@main.command()
+@settings_file
+@click.option("--port-file", type=click.Path(path_type=Path), help="Write the port here once it is open.")
+@click.option("--log-format", type=click.Choice(["console", "json"]), default="console", show_default=True)
+def proxy(file: Path, port_file: Path | None, log_format: str) -> None:
+    """Run a proxy that obeys the pilots' tables, until SIGTERM; requests under way may then end.
+
+    Exit code 0: ended in order; 2: settings or address cannot be used.
+    """
+    from damsonpick.daemon.logs import configure
+    from damsonpick.proxy import program
+    from damsonpick.proxy.settings import load
+    from damsonpick.settings.load import SettingsError
+
+    try:
+        settings = load(file)
+        anyio.run(program.serve, settings, configure(log_format, "info"), port_file)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(WRONG)
+    except OSError as error:
+        click.echo(f"[proxy] listen: cannot be opened ({error}); free the port or choose another", err=True)
+        sys.exit(WRONG)
+
+
 @main.group()
 def explain() -> None:
     """Why things are as they are."""
--- /dev/null
+++ b/damsonpick/proxy/follow.py
@@ -0,0 +1,120 @@
+"""A proxy's streams to its pilots: delta xDS in, sums out by LRS. A thin shell; holdings decide."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import grpc
+from envoy.service.discovery.v3 import ads_pb2_grpc
+from envoy.service.load_stats.v3 import lrs_pb2_grpc
+
+from damsonpick.engine.clock import Clock
+from damsonpick.proxy.holdings import Asker, Bad, Holdings
+from damsonpick.roster.redial import Redial
+from damsonpick.wire import calls
+from damsonpick.xds import loads
+from damsonpick.xds.names import CDS, EDS, RDS
+
+OPTIONS = [("grpc.use_local_subchannel_pool", 1), ("grpc.keepalive_time_ms", 10000),
+           ("grpc.keepalive_timeout_ms", 10000)]
+
+
+class Follower:
+    """Follows one pilot at a time, the next one when a stream breaks.
+
+    Args:
+        name, zone: node id and locality.
+        pilots: addresses to try now, in order.
+        holdings: what is filled.
+        took: called with type, names that changed, bodies and names removed.
+        said: called with what passed, for records.
+        counts: hands over the sums since it was last called.
+    """
+
+    def __init__(self, name: str, zone: str, pilots: Callable[[], list[str]], holdings: Holdings, clock: Clock,
+                 redial: Redial, took: Callable[..., None], counts: Callable[[], dict[int, loads.SliceCounts]],
+                 said: Callable[..., None], log: Any, delta: bool = True) -> None:
+        self.name, self.zone, self.pilots, self.holdings, self.clock = name, zone, pilots, holdings, clock
+        self.redial, self.took, self.counts, self.said, self.log = redial, took, counts, said, log
+        self.delta, self.seen, self.linked = delta, False, False
+        self.may_dial: Callable[[], bool] = lambda: True
+        self.pause: Callable[[], float] = lambda: 0.0  # real s to stand still before a response is read
+        self.report_delay = 0
+
+    async def run(self) -> None:
+        """For ever; what is held stays in force while no pilot answers."""
+        turn = 0
+        while True:
+            known = self.pilots()
+            if known and self.may_dial():
+                address, turn = known[turn % len(known)], turn + 1
+                why = "ended"
+                try:
+                    await self._session(address)
+                except* calls.StreamEnded as group:
+                    why = str(group.exceptions[0])
+                if self.linked:
+                    self.linked = False
+                    self.log.warning("pilot_lost", pilot=address, why=why, tables="the last good ones stay")
+                    self.said("stream", up=False)
+            await anyio.sleep(self.redial.failed() / self.clock.rate)
+
+    async def _session(self, address: str) -> None:
+        async with grpc.aio.insecure_channel(address, OPTIONS) as channel:
+            stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
+            call = stub.DeltaAggregatedResources() if self.delta else stub.StreamAggregatedResources()
+            asker = Asker(self.holdings, self.name, self.zone, self.delta)
+            await calls.write(call, asker.opening(CDS, []))
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._report, channel)
+                group.start_soon(self._watch, group.cancel_scope)
+                await self._read(call, asker, address)
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        while self.may_dial():
+            await anyio.sleep(0.05)
+        scope.cancel()
+
+    async def _read(self, call: Any, asker: Asker, address: str) -> None:
+        while True:
+            response = await calls.read(call)
+            if (wait := self.pause()) > 0:
+                await anyio.sleep(wait)
+            kind, resources, removed = asker.read(response)
+            bad = ""
+            try:
+                self.holdings.take(kind, resources, removed)
+                self.took(kind, resources, removed)
+            except Bad as error:
+                bad = str(error)
+                self.log.warning("table_refused", why=bad)
+            self.said("got", type=kind, nonce=response.nonce, resources=resources, removed=removed, nack=bad)
+            await calls.write(call, asker.verdict(response, bad))
+            if not self.linked and kind == CDS:
+                self.linked = True
+                self.redial.succeeded()
+                self.log.info("pilot_found", pilot=address)
+                self.said("stream", up=True, zone=self.zone, fresh=not self.seen)
+                self.seen = True
+                await calls.write(call, asker.opening(EDS, sorted(self.holdings.versions[CDS])))
+                await calls.write(call, asker.opening(RDS, ["routes"]))
+
+    async def _report(self, channel: Any) -> None:
+        call = lrs_pb2_grpc.LoadReportingServiceStub(channel).StreamLoadStats()
+        first = loads.write(1, {})
+        first.node.id, first.node.locality.zone = self.name, self.zone
+        del first.cluster_stats[:]
+        await calls.write(call, first)
+        wanted = await calls.read(call)
+        self.counts()
+        since = self.clock.now()
+        while True:
+            await anyio.sleep(self.clock.seconds(wanted.load_reporting_interval.ToNanoseconds()))
+            now = self.clock.now()
+            report = loads.write(now - since, self.counts())
+            since = now
+            if self.report_delay:
+                await anyio.sleep(self.clock.seconds(self.report_delay))
+            await calls.write(call, report)
--- /dev/null
+++ b/damsonpick/proxy/keep.py
@@ -0,0 +1,70 @@
+"""The last good tables on disk, so that a proxy starts and serves while no pilot answers.
+
+One file: a checksum line (XXH3 of what follows) and JSON of the serialized resources. It is written beside and
+renamed, after fsync of file and folder: a reader finds the old or the new, never half of one.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import os
+from pathlib import Path
+
+import xxhash
+
+from damsonpick.proxy.holdings import Holdings
+
+FORMAT = 1
+
+
+class Damaged(Exception):
+    """The file is not what was written; it is left where it is."""
+
+
+def save(path: Path, bodies: dict[str, dict[str, tuple[str, bytes]]]) -> None:
+    """Write all resources: type to name to (version, body)."""
+    text = json.dumps({"format": FORMAT, "types": {
+        kind: {name: [version, base64.b64encode(body).decode()] for name, (version, body) in found.items()}
+        for kind, found in bodies.items()}}).encode()
+    part = path.with_suffix(".part")
+    with part.open("wb") as file:
+        file.write(xxhash.xxh3_64_hexdigest(text).encode() + b"\n" + text)
+        file.flush()
+        os.fsync(file.fileno())
+    part.replace(path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def load(path: Path, holdings: Holdings) -> int:
+    """Fill holdings from a file; returns how many resources there were, 0 if there is no file.
+
+    Raises:
+        Damaged: checksum, form or a resource is wrong; nothing is taken.
+    """
+    try:
+        sum_, _, text = path.read_bytes().partition(b"\n")
+    except FileNotFoundError:
+        return 0
+    if xxhash.xxh3_64_hexdigest(text).encode() != sum_:
+        raise Damaged(f"{path}: the checksum is wrong; the proxy starts without tables and asks the pilots")
+    try:
+        kept = json.loads(text)
+        if kept["format"] != FORMAT:
+            raise Damaged(f"{path}: format {kept['format']}, this program reads {FORMAT}")
+        found = {kind: [(n, v, base64.b64decode(b)) for n, (v, b) in rows.items()]
+                 for kind, rows in kept["types"].items()}
+        trial = Holdings()
+        for kind, rows in found.items():
+            trial.take(kind, rows, [])
+    except Damaged:
+        raise
+    except Exception as error:
+        raise Damaged(f"{path}: cannot be read ({error!r}); the proxy starts without tables") from None
+    for kind, rows in found.items():
+        holdings.take(kind, rows, [])
+    return sum(map(len, found.values()))
--- /dev/null
+++ b/damsonpick/proxy/settings.py
@@ -0,0 +1,118 @@
+"""The proxy's settings: INI, checked whole before start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+
+from damsonpick.settings.load import Problem, SettingsError, parse
+from damsonpick.settings.units import Address, Duration, Names, address
+
+Pilots = Annotated[tuple[str, ...], BeforeValidator(
+    lambda text: text if isinstance(text, tuple) else tuple(address(p) for p in str(text).split(",") if p.strip()))]
+
+
+class Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Own(Section):
+    """[proxy]: who this proxy is."""
+
+    name: str = Field(min_length=1)
+    zone: str
+    listen: Address = "127.0.0.1:0"
+    state: Path | None = None  # folder for the last good tables; none: they are not kept
+    pilots: Pilots = ()
+    port_file: Path | None = None  # read the pilot's port from here at each dial, in place of `pilots`
+    slices: int = Field(0, ge=0, le=65_000)  # into which keys are hashed; 0: tables by zone and class
+    key_header: str = "x-key"
+    class_header: str = "x-damson-class"
+    client_header: str = "x-client-id"
+    slice_header: str = ""  # a client may name the slice itself; empty: it may not
+
+
+class Limits(Section):
+    """[limits]: what a connection or a server may take. Sizes in bytes."""
+
+    head: int = Field(16_384, ge=512)
+    body: int = Field(67_108_864, ge=0)
+    replay: int = Field(65_536, ge=0)  # of a body kept for another try
+    connections: int = Field(2_000, ge=1)  # from clients
+    per_server: int = Field(64, ge=1)  # to one server
+    waiting: int = Field(64, ge=0)  # requests that wait for a connection to one server
+    churn: float = Field(50.0, gt=0)  # new connections a second to one server
+    head_time: Duration = 10_000_000_000
+    idle_time: Duration = 30_000_000_000  # of a client's connection
+    pool_time: Duration = 10_000_000_000  # that a connection to a server is kept idle
+    write_fresh: Duration = 1_000_000_000  # a write takes no connection idle for longer
+    connect_time: Duration = 400_000_000
+    stall_time: Duration = 10_000_000_000  # without progress of a body, either way
+    hold: Duration = 500_000_000  # that a request waits for a table with a line
+    drain_time: Duration = 10_000_000_000  # after SIGTERM
+    interim: int = Field(8, ge=0)  # 1xx answers before the real one
+
+
+class RequestClass(Section):
+    """[class NAME]."""
+
+    deadline: Duration
+    aim: Duration = 0
+    effect: Literal["read_like", "idempotency_key", "non_idempotent"] = "read_like"
+
+
+class ProxySettings(Section):
+    proxy: Own
+    limits: Limits = Limits()
+    classes: dict[str, RequestClass]
+    clock_rate: float = Field(1.0, gt=0)
+
+    def usual(self) -> str:
+        """The class of a request that names none: the first."""
+        return next(iter(self.classes))
+
+
+def load(path: Path) -> ProxySettings:
+    """Settings of a proxy.
+
+    Raises:
+        SettingsError: with every problem, each with section, key, value and remedy.
+    """
+    parser = parse(path)
+    raw: dict = {"classes": {}}
+    problems = []
+    for name in parser.sections():
+        if name in ("proxy", "limits"):
+            raw[name] = dict(parser[name])
+        elif name.startswith("class ") and name[6:].strip():
+            raw["classes"][name[6:].strip()] = dict(parser[name])
+        else:
+            problems.append(Problem(name, "", "", "is no section; a proxy has [proxy], [limits] and [class NAME]"))
+    if not raw["classes"]:
+        problems.append(Problem("class NAME", "", "", "is missing; add a section for each class of request"))
+    try:
+        made = ProxySettings.model_validate(raw)
+    except ValidationError as error:
+        raise SettingsError(path, problems + [_problem(e) for e in error.errors()]) from None
+    if not made.proxy.pilots and made.proxy.port_file is None:
+        problems.append(Problem("proxy", "pilots", "", "is missing; name the pilots' addresses"))
+    if problems:
+        raise SettingsError(path, problems)
+    base, own = path.resolve().parent, made.proxy
+    return made.model_copy(update={"proxy": own.model_copy(update={
+        "state": base / own.state if own.state else None,
+        "port_file": base / own.port_file if own.port_file else None})})
+
+
+def _problem(error: dict) -> Problem:
+    place = [str(part) for part in error["loc"]]
+    if place[0] == "classes" and len(place) > 1:
+        place = [f"class {place[1]}", *place[2:]]
+    value, text = error.get("input"), error["msg"].removeprefix("Value error, ")
+    return Problem(place[0], ".".join(place[1:]), "" if isinstance(value, dict) else str(value),
+                   f"is wrong: {text[0].lower()}{text[1:]}; correct it")
+
+
+__all__ = ["Limits", "Names", "ProxySettings", "load"]
--- a/damsonpick/standins/gateway.py
+++ b/damsonpick/standins/gateway.py
@@ -12,9 +12,9 @@
 from envoy.service.load_stats.v3 import lrs_pb2_grpc
 
 from damsonpick.engine.clock import Clock
+from damsonpick.proxy.holdings import Asker, Bad, Holdings
 from damsonpick.roster.redial import Redial
 from damsonpick.standins import http
-from damsonpick.standins.holdings import Asker, Bad, Holdings
 from damsonpick.standins.picking import Picker
 from damsonpick.standins.record import Recorder
 from damsonpick.wire import calls
