--- /dev/null
+++ b/benchmarks/proxy_rate.py
@@ -0,0 +1,271 @@
+"""The proxy beside a plain byte relay and the stand-in gateway's forwarding.
+
+    python -m benchmarks.proxy_rate --out benchmarks/proxy_rate.json
+
+Each front runs in a process of its own before four plain servers in another; this process sends: closed loop for the
+rate at 1, 64 and 1,000 connections, open loop (`damsonpick load`) at a tenth of the proxy's rate for latency. The relay
+copies bytes between two sockets and reads nothing: the floor of what Python can do. All on loopback.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import platform
+import random
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+import psutil
+
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+ASK = b"GET / HTTP/1.1\r\nhost: x\r\nx-damson-class: page\r\nx-key: k%d\r\n\r\n"
+
+
+class Plain(asyncio.Protocol):
+    """A server that answers each request head at once."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport, self.data = transport, b""
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        count = self.data.count(b"\r\n\r\n")
+        if count:
+            self.data = self.data.rpartition(b"\r\n\r\n")[2]
+            self.transport.write(ANSWER * count)
+
+
+class Relay(asyncio.Protocol):
+    """Copies bytes to a server and back."""
+
+    ports: tuple[int, ...] = ()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.near, self.far, self.early = transport, None, b""
+        asyncio.get_running_loop().create_task(self.dial())
+
+    async def dial(self) -> None:
+        near = self.near
+
+        class Far(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                near.write(data)
+
+        self.far, _ = await asyncio.get_running_loop().create_connection(Far, "127.0.0.1", random.choice(self.ports))
+        self.far.write(self.early)
+
+    def data_received(self, data: bytes) -> None:
+        if self.far is None:
+            self.early += data
+        else:
+            self.far.write(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self.far:
+            self.far.close()
+
+
+async def servers() -> None:
+    loop = asyncio.get_running_loop()
+    made = [await loop.create_server(Plain, "127.0.0.1", 0, backlog=2048) for _ in range(4)]
+    print(*(s.sockets[0].getsockname()[1] for s in made), flush=True)
+    await asyncio.to_thread(sys.stdin.read)
+
+
+async def relay(ports: list[int]) -> None:
+    Relay.ports = tuple(ports)
+    made = await asyncio.get_running_loop().create_server(Relay, "127.0.0.1", 0, backlog=2048)
+    print(made.sockets[0].getsockname()[1], flush=True)
+    await asyncio.to_thread(sys.stdin.read)
+
+
+def filled(holdings: object, ports: list[int], slices: int, lines: int) -> list[tuple[str, str, bytes]]:
+    from damsonpick.proxy.holdings import Table
+
+    for n in range(slices):
+        table = {f"127.0.0.1:{p}": (1000, "a") for p in ports}
+        table |= {f"127.0.0.2:{9000 + k}": (0, "a") for k in range(lines - len(ports))}
+        holdings.tables[f"slice/{n}"] = Table(table, {})
+    return [(f"slice/{n}", "1", b"") for n in range(slices)]
+
+
+async def proxy(ports: list[int], slices: int, lines: int) -> None:
+    import structlog
+
+    from damsonpick.proxy.program import Proxy
+    from damsonpick.proxy.settings import Limits, Own, ProxySettings, RequestClass
+    from damsonpick.xds.names import EDS
+
+    settings = ProxySettings(proxy=Own(name="p", zone="a", slices=slices),
+                             limits=Limits(per_server=1000, churn=1e6, waiting=4000, connections=4000),
+                             classes={"page": RequestClass(deadline=10_000_000_000)})
+    made = Proxy(settings, structlog.wrap_logger(None, processors=[structlog.testing.LogCapture()]), seed=1)
+    async with made.running():
+        made._took(EDS, filled(made.router.holdings, ports, slices, lines), [])
+        print(made.port, flush=True)
+        await anyio.to_thread.run_sync(sys.stdin.read)
+
+
+async def standin(ports: list[int]) -> None:
+    """The earlier stand-in gateway's forwarding behind a socket of its own."""
+    from damsonpick.engine.clock import Clock
+    from damsonpick.proxy.holdings import Table
+    from damsonpick.standins import http
+    from damsonpick.standins.gateway import Gateway, Kind, Links
+    from damsonpick.standins.record import Recorder
+
+    kind = Kind("page", 10**9, 10**10, "read_like")
+    clock = Clock()
+    gateway = Gateway("g", "a", True, str, {"page": kind}, clock, Recorder(Path(os.devnull), clock.now), Links(),
+                      random.Random(1))
+    gateway.holdings.tables["slice/0"] = Table({f"127.0.0.1:{p}": (1000, "a") for p in ports}, {})
+
+    async def handle(headers: dict[str, str]) -> http.Answer:
+        good, _ = await gateway.serve("r", kind, "slice/0", 1.0)
+        return http.Answer(200 if good else 502, {}, b"ok")
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", backlog=2048)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, lambda s: http.answer(s, handle))
+        print(listener.extra(anyio.abc.SocketAttribute.local_port), flush=True)
+        await anyio.to_thread.run_sync(sys.stdin.read)
+        group.cancel_scope.cancel()
+
+
+class Closed(asyncio.Protocol):
+    """A closed-loop client."""
+
+    done = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport, self.data = transport, b""
+
+    def ask(self) -> None:
+        self.transport.write(ASK % random.randrange(400))
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        if self.data.endswith(b"ok"):
+            self.data = b""
+            Closed.done += 1
+            self.ask()
+
+
+async def rate(port: int, connections: int, seconds: float, process: psutil.Process) -> dict[str, float]:
+    loop, made = asyncio.get_running_loop(), []
+    for _ in range(connections):
+        made.append(await loop.create_connection(Closed, "127.0.0.1", port))
+    for _, client in made:
+        client.ask()
+    await asyncio.sleep(0.5)
+    Closed.done, start, cpu = 0, time.monotonic(), process.cpu_times()
+    await asyncio.sleep(seconds)
+    took, count, end = time.monotonic() - start, Closed.done, process.cpu_times()
+    rss = process.memory_info().rss
+    for transport, _ in made:
+        transport.abort()
+    await asyncio.sleep(0.2)
+    used = end.user + end.system - cpu.user - cpu.system
+    return {"per_second": count / took, "cpu_us": used / max(1, count) * 1e6, "rss": rss}
+
+
+async def idle(port: int, process: psutil.Process, count: int = 1000) -> float:
+    """KiB for each idle connection."""
+    before, made = process.memory_info().rss, []
+    for _ in range(count):
+        made.append(await asyncio.open_connection("127.0.0.1", port))
+    await asyncio.sleep(0.5)
+    grown = process.memory_info().rss - before
+    for _, writer in made:
+        writer.transport.abort()
+    return grown / count / 1024
+
+
+def latency(port: int, per_second: float, folder: Path) -> dict[str, int]:
+    path = folder / "load.ini"
+    path.write_text(f"[load]\ntarget = 127.0.0.1:{port}\nrate = {per_second:.0f}\nlength = 6 s\n"
+                    "connections = 64\n[class page]\nshare = 1\n")
+    done = subprocess.run([sys.executable, "-m", "damsonpick", "load", str(path), "--json"], capture_output=True,
+                          text=True, check=True)
+    return json.loads(done.stdout)["classes"]["page"]["latency_us"]
+
+
+def start(*words: str) -> tuple[subprocess.Popen, list[int]]:
+    process = subprocess.Popen([sys.executable, "-m", "benchmarks.proxy_rate", "--role", *words],
+                               stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+    return process, [int(p) for p in process.stdout.readline().split()]
+
+
+def measure(repeat: int, seconds: float) -> list[dict]:
+    rows = []
+    fronts = {"relay": ("relay",), "proxy": ("proxy", "1", "4"), "proxy, 400 slices x 60 lines": ("proxy", "400", "60"),
+              "stand-in gateway": ("standin",)}
+    behind, ports = start("servers")
+    texts = [str(p) for p in ports]
+    for k in range(repeat):
+        for name, (role, *more) in fronts.items():
+            front, (port,) = start(role, *more, "--ports", *texts)
+            process = psutil.Process(front.pid)
+            row = {"front": name, "run": k, "idle_kib": round(asyncio.run(idle(port, process)), 1)}
+            for connections in (1, 64, 1000):
+                found = asyncio.run(rate(port, connections, seconds, process))
+                row[f"per_second_{connections}"] = round(found["per_second"])
+                row[f"cpu_us_{connections}"] = round(found["cpu_us"], 1)
+            with tempfile.TemporaryDirectory() as scratch:
+                row["latency_us"] = latency(port, 300, Path(scratch))
+            rows.append(row)
+            print(json.dumps(row), flush=True)
+            front.stdin.close()
+            front.wait()
+    behind.stdin.close()
+    behind.wait()
+    return rows
+
+
+def summary(rows: list[dict]) -> dict[str, object]:
+    found = {}
+    relay_ = {r["run"]: r for r in rows if r["front"] == "relay"}
+    for name in dict.fromkeys(r["front"] for r in rows):
+        mine = [r for r in rows if r["front"] == name]
+        found[name] = {
+            f"rate_to_relay_{c}": [round(f(r[f"per_second_{c}"] / relay_[r["run"]][f"per_second_{c}"] for r in mine), 3)
+                                   for f in (min, statistics.median, max)] for c in (1, 64, 1000)}
+        found[name]["added_us"] = {p: round(statistics.median(
+            r["latency_us"][p] - relay_[r["run"]]["latency_us"][p] for r in mine)) for p in ("p50", "p99", "p99.9")}
+    return found
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--role", nargs="*")
+    parser.add_argument("--ports", nargs="*", type=int, default=[])
+    parser.add_argument("--repeat", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=2.0)
+    parser.add_argument("--out", type=Path)
+    args = parser.parse_args()
+    if args.role:
+        role, *more = args.role
+        job = {"servers": lambda: servers(), "relay": lambda: relay(args.ports), "standin": lambda: standin(args.ports),
+               "proxy": lambda: proxy(args.ports, *map(int, more))}[role]
+        asyncio.run(job())
+        return
+    rows = measure(args.repeat, args.seconds)
+    result = summary(rows)
+    print(json.dumps(result, indent=1))
+    if args.out:
+        machine = {"python": platform.python_version(), "cores": os.cpu_count()}
+        args.out.write_text(json.dumps({"command": "python -m benchmarks.proxy_rate --out benchmarks/proxy_rate.json",
+                                        "machine": machine, "columns": "[min, median, max]", "summary": result,
+                                        "rows": rows}, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -192,6 +192,40 @@
         sys.exit(WRONG)
 
 
+@main.command()
+@click.argument("experiment", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help="Write the results here, for a later --compare.")
+@click.option("--compare", type=click.Path(path_type=Path), help="An earlier results file of the same experiment.")
+@as_json
+def load(experiment: Path, out: Path | None, compare: Path | None, as_json: bool) -> None:
+    """Send the load that EXPERIMENT describes and print what came of it.
+
+    Open loop: requests are sent when they are due, and latency counts from then. Exit code 2: wrong input.
+    """
+    from damsonpick.load import player, results
+    from damsonpick.load.experiment import read
+    from damsonpick.settings.load import SettingsError
+
+    try:
+        made = read(experiment)
+        found = anyio.run(player.Player(made).run)
+        rows = results.compare(found, compare) if compare else []
+    except (SettingsError, ValueError) as error:
+        click.echo(str(error), err=True)
+        sys.exit(WRONG)
+    if out:
+        out.write_text(json.dumps(found) + "\n")
+    if as_json:
+        click.echo(json.dumps(found))
+        return
+    _rows(["class", "requests", "per second", *(f"p{p:g} us" for p in results.PERCENTILES), "ends"],
+          [[n, v["requests"], v["per_second"], *v["latency_us"].values(),
+            ", ".join(f"{k} {c}" for k, c in v["ends"].items())] for n, v in found["classes"].items()])
+    click.echo(f"the sender was late by {found['sender_late_us']} us at its worst")
+    if rows:
+        _rows(["class", "figure", "earlier", "now", "ratio"], rows)
+
+
 @main.group()
 def explain() -> None:
     """Why things are as they are."""
@@ -228,10 +262,11 @@
 @click.option("--times", default=1, show_default=True, type=click.IntRange(1, 100),
               help="Play each day so often, with the next seeds.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep settings, records and logs in this folder.")
+@click.option("--proxies", is_flag=True, help="Real proxies as data plane, in place of stand-in forwarding.")
 @click.option("--pilot", help="The command that runs a pilot, in place of this program's own.")
 @as_json
-def badday(days: tuple[Path, ...], seed: int | None, times: int, keep: Path | None, pilot: str | None,
-           as_json: bool) -> None:
+def badday(days: tuple[Path, ...], seed: int | None, times: int, keep: Path | None, proxies: bool,
+           pilot: str | None, as_json: bool) -> None:
     """Rehearse the bad DAYS: a pilot, gateways and servers on loopback, troubles by script.
 
     The five rules are checked from what passed on the sockets. Exit code 0: all kept on every day; 1: one was
@@ -239,7 +274,8 @@
     """
     from damsonpick.badday import report
 
-    sys.exit(report.rehearse(days, seed, times, keep, shlex.split(pilot) if pilot else None, as_json))
+    sys.exit(report.rehearse(days, seed, times, keep, shlex.split(pilot) if pilot else None, as_json,
+                              proxies))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/damsonpick/standins/proxied.py
@@ -0,0 +1,94 @@
+"""The project's own proxy in a gateway's place: the same face to the fleet, real HTTP in and out."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import structlog
+
+from damsonpick.engine.clock import Clock
+from damsonpick.proxy.program import Proxy
+from damsonpick.proxy.settings import Limits, Own, ProxySettings, RequestClass
+from damsonpick.standins import http
+from damsonpick.standins.gateway import Kind, Links, shown
+from damsonpick.standins.record import Recorder
+from damsonpick.xds.names import slice_of
+
+QUIET = structlog.wrap_logger(None, processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)])
+
+
+class Proxied:
+    """Args as of standins.gateway.Gateway."""
+
+    def __init__(self, name: str, zone: str, delta: bool, dial: Callable[[], str], kinds: dict[str, Kind],
+                 clock: Clock, record: Recorder, links: Links, rng: random.Random) -> None:
+        self.name, self.zone, self.kinds, self.clock, self.record, self.links = name, zone, kinds, clock, record, links
+        settings = ProxySettings(
+            proxy=Own(name=name, zone=zone, slice_header="x-damson-cluster"), limits=Limits(), clock_rate=clock.rate,
+            classes={k.name: RequestClass(deadline=k.deadline, aim=k.aim, effect=k.effect) for k in kinds.values()})
+        self.proxy = Proxy(settings, QUIET, self._said, rng.random(), delta)
+        self.proxy.follower.pilots = lambda: [address] if (address := dial()) else []
+        self.proxy.follower.may_dial = lambda: links.to_pilot(name, zone)
+        self.proxy.follower.pause = self._pause
+        self.proxy.relay.reaches = lambda other: not other or links.joined(zone, other)
+        self.proxy.relay.stand_still = lambda: clock.seconds(self.stalled_until - clock.now())
+        self.holdings = self.proxy.router.holdings
+        self.stalled_until = self.read_delay = 0
+        self.wires: list[http.Wire] = []
+
+    @property
+    def report_delay(self) -> int:
+        return self.proxy.follower.report_delay
+
+    @report_delay.setter
+    def report_delay(self, ns: int) -> None:
+        self.proxy.follower.report_delay = ns
+
+    def _pause(self) -> float:
+        return self.clock.seconds(max(self.stalled_until - self.clock.now(), 0) + self.read_delay)
+
+    def _said(self, event: str, **details: Any) -> None:
+        if event == "got":
+            details = shown(self.holdings, details["type"], details["nonce"], details["resources"], details["removed"],
+                            details["nack"])
+        if event in ("got", "try", "stream"):
+            self.record.put(event, gw=self.name, **details)
+
+    async def follow(self) -> None:
+        """Run the proxy, for ever."""
+        async with self.proxy.running():
+            await anyio.sleep_forever()
+
+    async def serve(self, rid: str, kind: Kind, cluster: str, work: float) -> tuple[bool, str]:
+        """One client's request through the proxy's socket."""
+        if not self.proxy.port:
+            return False, "no server"
+        wire = None
+        try:
+            with anyio.fail_after(self.clock.seconds(kind.deadline) + 1.0):
+                wire = self._idle() or await http.Wire.dial(f"127.0.0.1:{self.proxy.port}", 2.0)
+                said = await wire.ask("/", {
+                    "x-request-id": rid, "x-damson-class": kind.name, "x-work-ms": f"{work:.1f}",
+                    "x-slice": str(slice_of(cluster)), "x-damson-cluster": cluster, "x-client-id": rid})
+        except (http.Broken, http.NeverRan, TimeoutError) as error:
+            if wire is not None:
+                with anyio.CancelScope(shield=True):
+                    await wire.close()
+            return False, "too late" if isinstance(error, TimeoutError) else "broken"
+        if wire.reuse():
+            self.wires.append(wire)
+        else:
+            await wire.close()
+        if said.status == 200:
+            return True, "ok"
+        return False, "refused" if "retry-after" in said.headers else f"status {said.status}"
+
+    def _idle(self) -> http.Wire | None:
+        while self.wires:
+            wire = self.wires.pop()
+            if wire.idle():
+                return wire
+        return None
