Solver: caution about demand spreads work over buildings, and may not shed it

Against the hand-made weighting the first solver lost a rush: own buildings were filled to the knee of lateness on late, noisy estimates. Lateness is now expected over demand below, at and above its estimate; that caution stays under the worth of the cheapest work so it never refuses any.

--- a/damsonpick/solver/advice.py
+++ b/damsonpick/solver/advice.py
@@ -38,7 +38,7 @@
         s = settings.solver
         self.kinds = tuple(Kind(n, k.worth, min(k.late_worth, k.worth), max(k.work, 1) / SECOND, k.aim / SECOND,
                                 k.own_zone) for n, k in settings.classes.items())
-        self.costs = Costs(s.cross, s.pairs, s.move, s.least, s.bound, s.margin)
+        self.costs = Costs(s.cross, s.pairs, s.move, s.least, s.bound, s.margin, s.spread)
         self.due_at = 0
         self.seen: tuple = ()
         self.mended: tuple = ()
--- a/damsonpick/solver/lines.py
+++ b/damsonpick/solver/lines.py
@@ -83,7 +83,7 @@
     wait, many = patience(problem.kinds), len(cost)
     for name, server in servers.items():
         first = len(cost)
-        for width, slope in latency.pieces(server.cores, wait):
+        for width, slope in latency.pieces(server.cores, wait, problem.costs.spread, 1.0):
             cost.append(slope + server.failing)
             upper.append(width * server.capacity * server.most)
         cost.append(OVERFULL)
--- a/damsonpick/solver/model.py
+++ b/damsonpick/solver/model.py
@@ -45,7 +45,8 @@
         move: work that goes to another server than by the last plan.
         least: share of an even part that each server keeps, so that its evidence does not die out.
         bound: share of all work that may move in one plan, beyond what must.
-        margin: how far demand may be above its estimate, as a share of it.
+        margin: part of demand for which room is kept free under every server's capacity.
+        spread: how far demand of a zone may be from its estimate, as a share; lateness is expected over it.
     """
 
     cross: float = 0.02
@@ -54,6 +55,7 @@
     least: float = 0.1
     bound: float = 0.2
     margin: float = 0.1
+    spread: float = 0.35
 
     def between(self, one: str, other: str) -> float:
         if one == other:
--- a/damsonpick/solver/program.py
+++ b/damsonpick/solver/program.py
@@ -67,6 +67,11 @@
     return round(min(max(0.0, k.aim / k.work - 1.0) for k in kinds), 2)
 
 
+def ceiling(kinds: tuple[Kind, ...], density: float) -> float:
+    """Slope under which caution stays: just below the worth of the cheapest work, against the mean."""
+    return round(0.95 * min(k.worth / k.work for k in kinds) / density, 2) if density else 0.0
+
+
 class Program:
     """Builds, solves and reads. One instance keeps its last basis and starts from it while the shape holds."""
 
@@ -116,9 +121,10 @@
         weight = sum(work for *_, work in self.demand)
         self.density = (sum(late[c] * work for _, c, work in self.demand) / weight) if weight else top
         self.top, self.patience = top, patience(problem.kinds)
+        self.ceiling = ceiling(problem.kinds, self.density)
         self.flows = [(z, c, b) for z, c, _ in self.demand for b in self.buildings
                       if b == z or not self.kinds[c].own_zone]
-        self.cuts = [latency.pieces(g.cores, self.patience) for g in self.groups]
+        self.cuts = [latency.pieces(g.cores, self.patience, problem.costs.spread, self.ceiling) for g in self.groups]
         self.shape = (tuple(self.flows), tuple((g.zone, len(c)) for g, c in zip(self.groups, self.cuts, strict=True)))
         self._past()
 
@@ -148,7 +154,7 @@
             for width, slope in cut:
                 span = min(width * whole, left)
                 left -= span
-                cost.append(self.density * (min(1.0, slope) if slope < 1 else slope)
+                cost.append(self.density * slope
                             + self.top * g.failing + TIE * rank / len(self.groups))
                 upper.append(span)
         n = len(self.groups)
