One client of the pilots' streams and one reader of INI sections for all that need them

The stand-in gateway and the proxy each had the client half of the xDS stream, and three files read INI sections alike.

--- a/damsonpick/badday/script.py
+++ b/damsonpick/badday/script.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import configparser
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
-from damsonpick.settings.load import Problem, SettingsError, parse
+from damsonpick.settings import sections
+from damsonpick.settings.load import Problem, SettingsError
 from damsonpick.settings.units import Duration, Names
 
 Share = Annotated[float, Field(gt=0, le=1)]
@@ -73,49 +73,16 @@
     Raises:
         SettingsError: with every problem found, each with section, key, value and remedy.
     """
-    parser = parse(path)
-    raw, problems = _sections(parser)
-    try:
-        script = Script.model_validate(raw)
-    except ValidationError as error:
-        raise SettingsError(path, problems + [_problem(e) for e in error.errors()]) from None
+    script, problems = sections.read(path, Script, ("day", *PILOT_SECTIONS),
+                                     {"class": "classes", "trouble": "troubles"}, whole="pilot")
     problems += _across(script)
     if problems:
         raise SettingsError(path, problems)
     return script
 
 
-def _sections(parser: configparser.ConfigParser) -> tuple[dict, list[Problem]]:
-    raw: dict = {"classes": {}, "troubles": {}, "pilot": {}}
-    problems = []
-    for name in parser.sections():
-        head, _, rest = name.partition(" ")
-        if name == "day":
-            raw["day"] = dict(parser[name])
-        elif head in ("class", "trouble") and rest:
-            raw["classes" if head == "class" else "troubles"][rest] = dict(parser[name])
-        elif name in PILOT_SECTIONS:
-            raw["pilot"][name] = dict(parser[name])
-        else:
-            problems.append(Problem(name, "", "", "is no section of a day; it has [day], [class NAME], "
-                                    "[trouble NAME], [rules], [channel], [reports] and [solver]"))
-    return raw, problems
-
-
-def _problem(error: dict) -> Problem:
-    place = [str(part) for part in error["loc"]]
-    if place[0] in ("classes", "troubles"):
-        place = [("class " if place[0] == "classes" else "trouble ") + place[1], *place[2:]]
-    value = error.get("input")
-    text = error["msg"].removeprefix("Value error, ")
-    return Problem(place[0], ".".join(place[1:]), "" if isinstance(value, dict) else str(value),
-                   f"is wrong: {text[0].lower()}{text[1:]}; correct it")
-
-
 def _across(script: Script) -> list[Problem]:
     found = []
-    if not script.classes:
-        found.append(Problem("class NAME", "", "", "is missing; add a class of request"))
     for name, trouble in script.troubles.items():
         if trouble.at >= script.day.length:
             found.append(Problem(f"trouble {name}", "at", f"{trouble.at / 1e9:g} s",
--- a/damsonpick/load/experiment.py
+++ b/damsonpick/load/experiment.py
@@ -9,9 +9,10 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
-from damsonpick.settings.load import Problem, SettingsError, parse
+from damsonpick.settings import sections
+from damsonpick.settings.load import Problem, SettingsError
 from damsonpick.settings.units import Address, Duration
 
 
@@ -62,22 +63,7 @@
     Raises:
         SettingsError: with every problem, each with section, key, value and remedy.
     """
-    parser = parse(path)
-    raw: dict = {"classes": {}}
-    problems = []
-    for name in parser.sections():
-        if name == "load":
-            raw["load"] = dict(parser[name])
-        elif name.startswith("class ") and name[6:].strip():
-            raw["classes"][name[6:].strip()] = dict(parser[name])
-        else:
-            problems.append(Problem(name, "", "", "is no section; an experiment has [load] and [class NAME]"))
-    if not raw["classes"]:
-        problems.append(Problem("class NAME", "", "", "is missing; add a class of request"))
-    try:
-        made = Experiment.model_validate(raw)
-    except ValidationError as error:
-        raise SettingsError(path, problems + [_problem(e) for e in error.errors()]) from None
+    made, problems = sections.read(path, Experiment, ("load",), {"class": "classes"})
     if made.load.warm_up >= made.load.length:
         problems.append(Problem("load", "warm_up", "", "is not shorter than length; nothing would be counted"))
     if problems:
@@ -85,15 +71,6 @@
     return made
 
 
-def _problem(error: dict) -> Problem:
-    place = [str(part) for part in error["loc"]]
-    if place[0] == "classes" and len(place) > 1:
-        place = [f"class {place[1]}", *place[2:]]
-    value, text = error.get("input"), error["msg"].removeprefix("Value error, ")
-    return Problem(place[0], ".".join(place[1:]), "" if isinstance(value, dict) else str(value),
-                   f"is wrong: {text[0].lower()}{text[1:]}; correct it")
-
-
 def arrivals(made: Experiment) -> Iterator[Arrival]:
     """All requests in order of time: Poisson arrivals, classes by share, keys by Zipf's law."""
     load, rng = made.load, random.Random(made.load.seed)
--- a/damsonpick/proxy/follow.py
+++ b/damsonpick/proxy/follow.py
@@ -39,6 +39,7 @@
         self.name, self.zone, self.pilots, self.holdings, self.clock = name, zone, pilots, holdings, clock
         self.redial, self.took, self.counts, self.said, self.log = redial, took, counts, said, log
         self.delta, self.seen, self.linked = delta, False, False
+        self.version: dict[str, str] = {}  # of the last response taken, by type
         self.may_dial: Callable[[], bool] = lambda: True
         self.pause: Callable[[], float] = lambda: 0.0  # real s to stand still before a response is read
         self.report_delay = 0
@@ -66,7 +67,7 @@
             stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
             call = stub.DeltaAggregatedResources() if self.delta else stub.StreamAggregatedResources()
             asker = Asker(self.holdings, self.name, self.zone, self.delta)
-            await calls.write(call, asker.opening(CDS, []))
+            await calls.write(call, asker.opening(CDS, [], self.version.get(CDS, "")))
             async with anyio.create_task_group() as group:
                 group.start_soon(self._report, channel)
                 group.start_soon(self._watch, group.cancel_scope)
@@ -86,6 +87,7 @@
             bad = ""
             try:
                 self.holdings.take(kind, resources, removed)
+                self.version[kind] = response.system_version_info if self.delta else response.version_info
                 self.took(kind, resources, removed)
             except Bad as error:
                 bad = str(error)
@@ -98,8 +100,9 @@
                 self.log.info("pilot_found", pilot=address)
                 self.said("stream", up=True, zone=self.zone, fresh=not self.seen)
                 self.seen = True
-                await calls.write(call, asker.opening(EDS, sorted(self.holdings.versions[CDS])))
-                await calls.write(call, asker.opening(RDS, ["routes"]))
+                await calls.write(call, asker.opening(
+                    EDS, sorted(self.holdings.versions[CDS]), self.version.get(EDS, "")))
+                await calls.write(call, asker.opening(RDS, ["routes"], self.version.get(RDS, "")))
 
     async def _report(self, channel: Any) -> None:
         call = lrs_pb2_grpc.LoadReportingServiceStub(channel).StreamLoadStats()
--- a/damsonpick/proxy/settings.py
+++ b/damsonpick/proxy/settings.py
@@ -5,9 +5,10 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
-from damsonpick.settings.load import Problem, SettingsError, parse
+from damsonpick.settings import sections
+from damsonpick.settings.load import Problem, SettingsError
 from damsonpick.settings.units import Address, Duration, Names, address
 
 Pilots = Annotated[tuple[str, ...], BeforeValidator(
@@ -80,22 +81,7 @@
     Raises:
         SettingsError: with every problem, each with section, key, value and remedy.
     """
-    parser = parse(path)
-    raw: dict = {"classes": {}}
-    problems = []
-    for name in parser.sections():
-        if name in ("proxy", "limits"):
-            raw[name] = dict(parser[name])
-        elif name.startswith("class ") and name[6:].strip():
-            raw["classes"][name[6:].strip()] = dict(parser[name])
-        else:
-            problems.append(Problem(name, "", "", "is no section; a proxy has [proxy], [limits] and [class NAME]"))
-    if not raw["classes"]:
-        problems.append(Problem("class NAME", "", "", "is missing; add a section for each class of request"))
-    try:
-        made = ProxySettings.model_validate(raw)
-    except ValidationError as error:
-        raise SettingsError(path, problems + [_problem(e) for e in error.errors()]) from None
+    made, problems = sections.read(path, ProxySettings, ("proxy", "limits"), {"class": "classes"})
     if not made.proxy.pilots and made.proxy.port_file is None:
         problems.append(Problem("proxy", "pilots", "", "is missing; name the pilots' addresses"))
     if problems:
@@ -106,13 +92,4 @@
         "port_file": base / own.port_file if own.port_file else None})})
 
 
-def _problem(error: dict) -> Problem:
-    place = [str(part) for part in error["loc"]]
-    if place[0] == "classes" and len(place) > 1:
-        place = [f"class {place[1]}", *place[2:]]
-    value, text = error.get("input"), error["msg"].removeprefix("Value error, ")
-    return Problem(place[0], ".".join(place[1:]), "" if isinstance(value, dict) else str(value),
-                   f"is wrong: {text[0].lower()}{text[1:]}; correct it")
-
-
 __all__ = ["Limits", "Names", "ProxySettings", "load"]
--- a/damsonpick/standins/gateway.py
+++ b/damsonpick/standins/gateway.py
@@ -7,25 +7,22 @@
 from typing import Any, NamedTuple
 
 import anyio
-import grpc
-from envoy.service.discovery.v3 import ads_pb2_grpc
-from envoy.service.load_stats.v3 import lrs_pb2_grpc
+import structlog
 
 from damsonpick.engine.clock import Clock
-from damsonpick.proxy.holdings import Asker, Bad, Holdings
+from damsonpick.proxy.follow import Follower
+from damsonpick.proxy.holdings import Holdings
 from damsonpick.roster.redial import Redial
 from damsonpick.standins import http
 from damsonpick.standins.picking import Picker
 from damsonpick.standins.record import Recorder
-from damsonpick.wire import calls
 from damsonpick.xds import loads
-from damsonpick.xds.names import CDS, EDS, RDS, slice_of
+from damsonpick.xds.names import EDS, slice_of
 
 HOLD = 500_000_000  # ns that a request waits for a table with a line
 CONNECT = 400_000_000  # ns
 NEVER_RAN, ANY = "connect-failure", "5xx"
-OPTIONS = [("grpc.use_local_subchannel_pool", 1), ("grpc.keepalive_time_ms", 5000),
-           ("grpc.keepalive_timeout_ms", 5000)]
+QUIET = structlog.wrap_logger(None, processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)])
 
 
 def shown(holdings: Holdings, kind: str, nonce: str, resources: list, removed: list[str], bad: str) -> dict[str, Any]:
@@ -75,98 +72,48 @@
 
     def __init__(self, name: str, zone: str, delta: bool, dial: Callable[[], str], kinds: dict[str, Kind],
                  clock: Clock, record: Recorder, links: Links, rng: random.Random) -> None:
-        self.name, self.zone, self.delta, self.dial, self.kinds = name, zone, delta, dial, kinds
+        self.name, self.zone, self.kinds = name, zone, kinds
         self.clock, self.record, self.links, self.rng = clock, record, links, rng
         self.holdings, self.picker = Holdings(), Picker(rng)
-        self.version: dict[str, str] = {}
         self.pools: dict[str, list[http.Wire]] = {}
         self.counts: dict[int, loads.SliceCounts] = {}
         self.changed = anyio.Event()
-        self.stalled_until = 0
-        self.read_delay = self.report_delay = 0  # ns
-        self.redial = Redial(rng, 0.1, 1.0)
-        self.seen = False  # a stream has been up since the start
+        self.stalled_until = self.read_delay = 0  # ns
+        self.follower = Follower(name, zone, lambda: [address] if (address := dial()) else [], self.holdings, clock,
+                                 Redial(rng, 0.1, 1.0), self._took, self._sums, self._said, QUIET, delta)
+        self.follower.may_dial = lambda: links.to_pilot(name, zone)
+        self.follower.pause = lambda: clock.seconds(max(self.stalled_until - clock.now(), 0) + self.read_delay)
 
     # -- the pilot
 
+    @property
+    def report_delay(self) -> int:
+        return self.follower.report_delay
+
+    @report_delay.setter
+    def report_delay(self, ns: int) -> None:
+        self.follower.report_delay = ns
+
     async def follow(self) -> None:
         """Keep a stream to the pilot, for ever."""
-        while True:
-            address = self.dial()
-            if address and self.links.to_pilot(self.name, self.zone):
-                try:
-                    await self._session(address)
-                except* calls.StreamEnded:
-                    pass
-                self.record.put("stream", gw=self.name, up=False)
-            await anyio.sleep(self.redial.failed() / self.clock.rate)
-
-    async def _session(self, address: str) -> None:
-        async with grpc.aio.insecure_channel(address, OPTIONS) as channel:
-            stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
-            call = stub.DeltaAggregatedResources() if self.delta else stub.StreamAggregatedResources()
-            asker = Asker(self.holdings, self.name, self.zone, self.delta)
-            await calls.write(call, asker.opening(CDS, [], self.version.get(CDS, "")))
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._report, channel)
-                group.start_soon(self._watch_links, group.cancel_scope)
-                await self._read(call, asker)
-                group.cancel_scope.cancel()
-
-    async def _watch_links(self, scope: anyio.CancelScope) -> None:
-        """A cut link breaks the stream (a call cancelled here would raise in its reader as a cancelled task)."""
-        while self.links.to_pilot(self.name, self.zone):
-            await anyio.sleep(0.05)
-        scope.cancel()
-
-    async def _read(self, call: Any, asker: Asker) -> None:
-        begun = False
-        while True:
-            response = await calls.read(call)
-            await self._stand_still(self.read_delay)
-            kind, resources, removed = asker.read(response)
-            bad = ""
-            try:
-                self.holdings.take(kind, resources, removed)
-                self.version[kind] = response.system_version_info if self.delta else response.version_info
-                self.changed.set()
-                self.changed = anyio.Event()
-            except Bad as error:
-                bad = str(error)
-            self._record(kind, response.nonce, resources, removed, bad)
-            await calls.write(call, asker.verdict(response, bad))
-            if not begun and kind == CDS:
-                begun = True
-                self.redial.succeeded()
-                names = sorted(self.holdings.versions[CDS])
-                self.record.put("stream", gw=self.name, up=True, zone=self.zone, fresh=not self.seen)
-                self.seen = True
-                await calls.write(call, asker.opening(EDS, names, self.version.get(EDS, "")))
-                await calls.write(call, asker.opening(RDS, ["routes"], self.version.get(RDS, "")))
-
-    def _record(self, kind: str, nonce: str, resources: list, removed: list[str], bad: str) -> None:
-        self.record.put("got", gw=self.name, **shown(self.holdings, kind, nonce, resources, removed, bad))
-
-    async def _report(self, channel: Any) -> None:
-        """Sums to the pilot at the interval that it asks for."""
-        call = lrs_pb2_grpc.LoadReportingServiceStub(channel).StreamLoadStats()
-        first = loads.write(1, {})
-        first.node.id, first.node.locality.zone = self.name, self.zone
-        del first.cluster_stats[:]
-        await calls.write(call, first)
-        wanted = await calls.read(call)
-        self.counts, since = {}, self.clock.now()
-        while True:
-            await anyio.sleep(self.clock.seconds(wanted.load_reporting_interval.ToNanoseconds()))
-            now = self.clock.now()
-            report = loads.write(now - since, self.counts)
-            self.counts, since = {}, now
-            if self.report_delay:
-                await anyio.sleep(self.clock.seconds(self.report_delay))
-            await calls.write(call, report)
-
-    async def _stand_still(self, extra: int = 0) -> None:
-        wait = max(self.stalled_until - self.clock.now(), 0) + extra
+        await self.follower.run()
+
+    def _took(self, kind: str, resources: list, removed: list[str]) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _sums(self) -> dict[int, loads.SliceCounts]:
+        found, self.counts = self.counts, {}
+        return found
+
+    def _said(self, event: str, **details: Any) -> None:
+        if event == "got":
+            details = shown(self.holdings, details["type"], details["nonce"], details["resources"], details["removed"],
+                            details["nack"])
+        self.record.put(event, gw=self.name, **details)
+
+    async def _stand_still(self) -> None:
+        wait = self.stalled_until - self.clock.now()
         if wait > 0:
             await anyio.sleep(self.clock.seconds(wait))
 
--- a/damsonpick/standins/proxied.py
+++ b/damsonpick/standins/proxied.py
@@ -7,18 +7,15 @@
 from typing import Any
 
 import anyio
-import structlog
 
 from damsonpick.engine.clock import Clock
 from damsonpick.proxy.program import Proxy
 from damsonpick.proxy.settings import Limits, Own, ProxySettings, RequestClass
 from damsonpick.standins import http
-from damsonpick.standins.gateway import Kind, Links, shown
+from damsonpick.standins.gateway import QUIET, Kind, Links, shown
 from damsonpick.standins.record import Recorder
 from damsonpick.xds.names import slice_of
 
-QUIET = structlog.wrap_logger(None, processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)])
-
 
 class Proxied:
     """Args as of standins.gateway.Gateway."""
