One look at idle sockets and one name for the EDS type, where two stood

The proxy and the stand-ins each had the same test of an idle connection, and three files spelled out the EDS type URL. Both stand once now; no behaviour changed.

--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -27,6 +27,7 @@
 from damsonpick.store.sqlite import Store
 from damsonpick.tables.published import Published
 from damsonpick.xds.hub import Hub
+from damsonpick.xds.names import EDS
 from damsonpick.xds.resources import Catalogue
 from damsonpick.xds.server import XdsServer
 
@@ -223,8 +224,7 @@
         for n in chosen:
             if n not in self.published.tables:
                 raise ValueError(f"slice {n}: there are {self.published.slices}, from 0")
-            resource = self.catalogue.get("type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
-                                          f"slice/{n}")
+            resource = self.catalogue.get(EDS, f"slice/{n}")
             rows.append({"slice": n, "version": resource.version, "changed": self.published.changed[f"slice/{n}"],
                          "lines": self.published.tables[n], "open": self.published.open_lines(n)})
         return {"tables": rows, "withdrawn": sorted(self.published.withdrawn)}
--- a/damsonpick/proxy/relay.py
+++ b/damsonpick/proxy/relay.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import select
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +18,7 @@
 from damsonpick.proxy.pool import Pool
 from damsonpick.proxy.router import Asked, Router
 from damsonpick.proxy.settings import ProxySettings
+from damsonpick.wire import sockets
 from damsonpick.xds.loads import SliceCounts
 from damsonpick.xds.names import slice_of
 
@@ -48,13 +48,7 @@
         self.stream, self.reader = stream, http.Reader(False, most_head)
 
     def idle(self) -> bool:
-        """Whether nothing came while it lay idle: a server that closed it must not be sent a request."""
-        watch = select.poll()
-        try:
-            watch.register(self.stream.extra(anyio.abc.SocketAttribute.raw_socket), select.POLLIN)
-        except (anyio.TypedAttributeLookupError, ValueError, OSError):
-            return False
-        return not watch.poll(0)
+        return sockets.idle(self.stream)
 
     async def close(self) -> None:
         await anyio.aclose_forcefully(self.stream)
--- a/damsonpick/roster/upstream.py
+++ b/damsonpick/roster/upstream.py
@@ -19,8 +19,8 @@
 from damsonpick.roster.listfile import ListError
 from damsonpick.roster.redial import Redial
 from damsonpick.wire import calls
+from damsonpick.xds.names import EDS
 
-EDS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 METADATA, STARTED = "damsonpick", "started"
 STATES = {health_check_pb2.UNKNOWN: "in_service", health_check_pb2.HEALTHY: "in_service",
           health_check_pb2.DRAINING: "terminating"}
--- a/damsonpick/standins/http.py
+++ b/damsonpick/standins/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -10,6 +9,8 @@
 import h11
 from anyio.abc import SocketStream
 
+from damsonpick.wire import sockets
+
 CHUNK = 65_536
 
 
@@ -78,13 +79,7 @@
         return False
 
     def idle(self) -> bool:
-        """Whether nothing came meanwhile: a server that closed an idle connection must not eat a request."""
-        watch = select.poll()
-        try:
-            watch.register(self.stream.extra(anyio.abc.SocketAttribute.raw_socket), select.POLLIN)
-        except (anyio.TypedAttributeLookupError, ValueError, OSError):
-            return False
-        return not watch.poll(0)
+        return sockets.idle(self.stream)
 
     async def close(self) -> None:
         await anyio.aclose_forcefully(self.stream)
--- a/damsonpick/wire/__init__.py
+++ b/damsonpick/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Small helps for the client half of gRPC streams."""
+"""Small helps for sockets and the client half of gRPC streams."""
