The advisor reckons a table's work in one place

Two lists were built side by side to be zipped for a sum that a line further down was reckoned directly.

--- a/damsonpick/solver/advice.py
+++ b/damsonpick/solver/advice.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from damsonpick import interface as api
-from damsonpick.choice import Planner
+from damsonpick.choice import Planner, Slice
 from damsonpick.settings.model import PilotSettings
 from damsonpick.solver import plan as plans
 from damsonpick.solver.lines import LinesProblem, Piece
@@ -74,8 +74,7 @@
         shares = {row.name: row.share for row in self.last.servers} if self.last else {}
         usable = planner.usable()
         total = sum(usable.values()) or 1.0
-        used = min(1.0, sum(rate * k.work for (_, rate), k in zip(self._rates(planner), self._each(), strict=True))
-                   / total)
+        used = min(1.0, sum(map(self._work, planner.slices.values())) / total)
         found = []
         for name in sorted(usable):
             ep = planner.endpoints[name]
@@ -87,16 +86,9 @@
                 shares.get(name, 0.0)))
         return tuple(found)
 
-    def _each(self) -> list[Kind]:
-        return [kind for _ in range(self.settings.table_count()) for kind in self.kinds]
-
-    def _rates(self, planner: Planner) -> list[tuple[int, float]]:
-        """Averaged requests a second by table and class."""
-        found = []
-        for number in range(self.settings.table_count()):
-            piece = planner.slices.get(number)
-            found += [(number, piece.rates[k] if piece else 0.0) for k in range(len(self.kinds))]
-        return found
+    def _work(self, piece: Slice) -> float:
+        """Averaged work a second that a table's requests bring."""
+        return sum(rate * kind.work for rate, kind in zip(piece.rates, self.kinds, strict=True))
 
     def problem(self, planner: Planner) -> Problem:
         """Tables by zone and class over all servers."""
@@ -113,7 +105,7 @@
         """Weights among the homes of slices that have several."""
         pieces = []
         for number, piece in sorted(planner.slices.items()):
-            work = sum(rate * kind.work for rate, kind in zip(piece.rates, self.kinds, strict=True))
+            work = self._work(piece)
             if piece.homes and work > 0:
                 old = tuple(piece.wanted(h) for h in piece.homes)
                 pieces.append(Piece(number, work, tuple(piece.homes), old))
