Deltas state the roots they start from and end in; gateways check, repairs are small

Change: an additive multiset hash over names and versions in 64 ranges (versions/digest.py), stated in control_plane.identifier to gateways that say they check; a wrong root is refused with both roots and the ranges, and the pilot replaces the ranges that differ, all of them if that did not help. A body is checked against its version.

--- a/damsonpick/proxy/follow.py
+++ b/damsonpick/proxy/follow.py
@@ -88,7 +88,7 @@
             kind, resources, removed = asker.read(response)
             bad = ""
             try:
-                self.holdings.take(kind, resources, removed)
+                removed = [*removed, *self.holdings.take(kind, resources, removed, asker.stated(response))]
                 self.version[kind] = response.system_version_info if self.delta else response.version_info
                 self.took(kind, resources, removed)
             except Bad as error:
--- a/damsonpick/proxy/holdings.py
+++ b/damsonpick/proxy/holdings.py
@@ -4,12 +4,15 @@
 
 from typing import NamedTuple
 
+import xxhash
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.core.v3 import base_pb2
 from envoy.config.endpoint.v3 import endpoint_pb2
 from envoy.config.route.v3 import route_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 
+from damsonpick.versions import statement
+from damsonpick.versions.digest import Digest, range_of, within
 from damsonpick.xds.names import CDS, EDS, RDS
 
 DENOMINATORS = (100, 10_000, 1_000_000)
@@ -57,6 +60,7 @@
 
     def __init__(self) -> None:
         self.versions: dict[str, dict[str, str]] = {CDS: {}, EDS: {}, RDS: {}}
+        self.digests: dict[str, Digest] = {CDS: Digest(), EDS: Digest(), RDS: Digest()}
         self.tables: dict[str, Table] = {}
         self.retries: dict[tuple[str, str], tuple[str, int]] = {}
         self.clusters: dict[tuple[str, str], str] = {}
@@ -64,17 +68,23 @@
         self.strikes = 0
         self.refuse: set[str] = set()  # names that it is told not to take
 
-    def take(self, kind: str, resources: list[tuple[str, str, bytes]], removed: list[str]) -> None:
-        """Apply a response as a whole.
+    def take(self, kind: str, resources: list[tuple[str, str, bytes]], removed: list[str],
+             said: statement.Statement | None = None) -> list[str]:
+        """Apply a response as a whole; returns names that went because their range was replaced.
 
         Raises:
-            Bad: a resource is not taken; then nothing of the response is.
+            Bad: a resource or the stated root is not right; then nothing of the response is taken.
         """
         for name, _, _ in resources:
             if name in self.refuse:
                 raise Bad(f"{name}: this gateway was told to refuse it")
+        lost: list[str] = []
+        if said is not None:
+            came = {name for name, *_ in resources}
+            lost = [n for n in within(self.versions[kind], said.replaces) if n not in came]
+            self._check(kind, resources, removed, said)
         for name, version, body in resources:
-            self.versions[kind][name] = version
+            self._hold(kind, name, version)
             if kind == EDS:
                 self.tables[name] = read_table(body)
             elif kind == RDS:
@@ -83,10 +93,36 @@
                 cluster = cluster_pb2.Cluster.FromString(body)
                 self.picks[name] = cluster.lb_policy
                 self.strikes = cluster.outlier_detection.consecutive_5xx.value
-        for name in removed:
-            self.versions[kind].pop(name, None)
+        for name in [*removed, *lost]:
+            self._hold(kind, name, "")
             if kind == EDS:
                 self.tables.pop(name, None)
+        return lost
+
+    def _hold(self, kind: str, name: str, version: str) -> None:
+        self.digests[kind].change(name, self.versions[kind].get(name, ""), version)
+        if version:
+            self.versions[kind][name] = version
+        else:
+            self.versions[kind].pop(name, None)
+
+    def _check(self, kind: str, resources: list[tuple[str, str, bytes]], removed: list[str],
+               said: statement.Statement) -> None:
+        """Whether a delta starts from what is here and ends where it says, and each body is what its version says."""
+        for name, version, body in resources:
+            if (found := xxhash.xxh3_64_hexdigest(body)) != version:
+                raise Bad(f"{name}: the body's hash is {found}, its version says {version}")
+        own = self.digests[kind]
+        if not said.replaces and own.root() != said.start:
+            raise Bad(statement.refusal(own.root(), said.start, own.ranges()))
+        have, after = self.versions[kind], own.copy()
+        for place in said.replaces:
+            after.sums[place] = 0
+        replaced = set(said.replaces)
+        for name, version in [*((n, v) for n, v, _ in resources), *((n, "") for n in removed)]:
+            after.change(name, "" if range_of(name) in replaced else have.get(name, ""), version)
+        if after.root() != said.end:
+            raise Bad(statement.refusal(after.root(), said.end, own.ranges()))
 
     def open_lines(self, cluster: str) -> dict[str, tuple[int, str]]:
         """What may be picked for a cluster now."""
@@ -115,6 +151,8 @@
         self.holdings, self.delta = holdings, delta
         self.node = base_pb2.Node(id=node, user_agent_name="damsonpick stand-in gateway")
         self.node.locality.zone = zone
+        if delta:
+            self.node.client_features.append(statement.FEATURE)
         self.asked: dict[str, list[str]] = {}
         self.accepted: dict[str, str] = {}
         self.nonces: dict[str, str] = {}  # of the last response of a type
@@ -151,6 +189,10 @@
             found.append((named, response.version_info, body.value))
         return response.type_url, found, []
 
+    def stated(self, response: object) -> statement.Statement | None:
+        """What a delta says of its roots."""
+        return statement.read(response.control_plane.identifier) if self.delta else None
+
     def verdict(self, response: object, bad: str) -> object:
         """ACK, or NACK with what was wrong."""
         kind = response.type_url
--- /dev/null
+++ b/damsonpick/versions/store.py
@@ -0,0 +1,100 @@
+"""Versions on disk: a database of their own, so that a full history never stops the tables' store.
+
+One row a version, one transaction a row; SQLite's write-ahead log leaves the last whole transaction after a cut at any
+byte. Differences are compressed JSON under a checksum (XXH3): a row that does not read as it was written is refused,
+and with it everything older.
+"""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+import zlib
+from pathlib import Path
+
+import xxhash
+
+from damsonpick.versions.history import Version
+
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS versions (number INTEGER PRIMARY KEY, root TEXT NOT NULL, parent INTEGER NOT NULL,
+    at INTEGER NOT NULL, cause TEXT NOT NULL, note TEXT NOT NULL, difference BLOB NOT NULL, sum TEXT NOT NULL);
+CREATE TABLE IF NOT EXISTS pin (one INTEGER PRIMARY KEY CHECK (one = 1), version INTEGER NOT NULL,
+    until INTEGER NOT NULL, generation INTEGER NOT NULL);
+"""
+
+
+class VersionStoreError(Exception):
+    """The history cannot be used; the text names the file and the remedy."""
+
+
+class VersionStore:
+    """Args: path: of the database."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        try:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            self.db = sqlite3.connect(path, isolation_level=None, timeout=2.0)
+            self.db.execute("PRAGMA journal_mode = WAL")
+            self.db.execute("PRAGMA synchronous = NORMAL")
+            self.db.executescript(SCHEMA)
+        except (sqlite3.Error, OSError) as error:
+            raise VersionStoreError(f"{path}: the history cannot be opened ({error}); check folder, rights and space, "
+                                    "or move the file away to begin a new one") from None
+
+    def load(self) -> tuple[list[Version], str]:
+        """Versions, oldest first, and what was wrong with what is left out ('': nothing)."""
+        found: list[Version] = []
+        try:
+            rows = self.db.execute("SELECT * FROM versions ORDER BY number DESC")
+            for row in rows:
+                version = _read(row)
+                if version is None or (found and found[-1].parent != version.number):
+                    return found[::-1], f"version {row[0]} is damaged: it and older ones are left out"
+                found.append(version)
+        except sqlite3.DatabaseError as error:
+            return found[::-1], f"{self.path}: {error}"
+        return found[::-1], ""
+
+    def append(self, versions: list[Version], lowest: int) -> None:
+        """Add versions and forget those below `lowest`, in one transaction."""
+        self.db.execute("BEGIN IMMEDIATE")
+        try:
+            self.db.executemany("INSERT OR REPLACE INTO versions VALUES (?, ?, ?, ?, ?, ?, ?, ?)",
+                                [_row(v) for v in versions])
+            self.db.execute("DELETE FROM versions WHERE number < ?", (lowest,))
+            self.db.execute("COMMIT")
+        except BaseException:
+            self.db.execute("ROLLBACK")
+            raise
+
+    def pin(self) -> tuple[int, int, int]:
+        """(version, until, generation) as last set."""
+        row = self.db.execute("SELECT version, until, generation FROM pin").fetchone()
+        return row if row else (0, 0, 0)
+
+    def set_pin(self, version: int, until: int, generation: int) -> None:
+        self.db.execute("INSERT OR REPLACE INTO pin VALUES (1, ?, ?, ?)", (version, until, generation))
+
+    def close(self) -> None:
+        self.db.close()
+
+
+def _row(version: Version) -> tuple[object, ...]:
+    blob = zlib.compress(json.dumps(version.difference, separators=(",", ":"), sort_keys=True).encode(), 1)
+    plain = (version.number, version.root, version.parent, version.at, version.cause, version.note)
+    return (*plain, blob, _sum(plain, blob))
+
+
+def _sum(plain: tuple[object, ...], blob: bytes) -> str:
+    return xxhash.xxh3_128_hexdigest(repr(plain).encode() + blob)
+
+
+def _read(row: tuple) -> Version | None:
+    *plain, blob, stated = row
+    if _sum(tuple(plain), blob) != stated:
+        return None
+    difference = {unit: {key: tuple(pair) for key, pair in keys.items()}
+                  for unit, keys in json.loads(zlib.decompress(blob)).items()}
+    return Version(*plain, difference)
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -14,11 +14,14 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 from damsonpick.tables.published import FLEET, ROUTES
+from damsonpick.versions import statement
+from damsonpick.versions.digest import RANGES, Digest, range_of, within
 from damsonpick.xds.names import CDS, EDS, ORDER, RDS, SHORT
 from damsonpick.xds.resources import Catalogue
 
 MOST_FLIGHTS = 4  # responses not yet answered; beyond, orders wait and are merged
 MOST_BYTES = 1_000_000  # of resources in one response; a quarter of what a gRPC client takes by default
+MOST_WHY = 1500  # characters of a gateway's refusal
 RECENT = 32  # settled nonces remembered: a rejection that comes late still counts
 REQUEST_RATE, REQUEST_BURST = 200.0, 4000.0  # a client that subscribes one by one to all slices may
 
@@ -69,6 +72,24 @@
         self.flights: OrderedDict[str, Flight] = OrderedDict()
         self.settled: OrderedDict[str, Flight] = OrderedDict()
         self.last = ""  # nonce of the newest response
+        self.digest = Digest()  # over `sent`: the root that the gateway will have
+        self.repair: list[int] | None = None  # ranges to be replaced once no flight is out
+        self.repairs = 0  # without an acceptance between them
+        self.since = 0  # ns: when the newest acceptance came
+
+    def will_hold(self, name: str, version: str) -> None:
+        """A gateway that accepts all flights holds this version; '' none."""
+        old = self.sent.get(name, "")
+        if old != version:
+            self.digest.change(name, old, version)
+        if version:
+            self.sent[name] = version
+        else:
+            self.sent.pop(name, None)
+
+    def begin_with(self, versions: dict[str, str]) -> None:
+        """What a gateway says it holds at the start of its stream."""
+        self.held, self.sent, self.digest = dict(versions), dict(versions), Digest(versions)
 
     def wants(self, name: str) -> bool:
         return self.wildcard or name in self.names
@@ -88,6 +109,7 @@
         self.catalogue, self.epoch = catalogue, epoch
         self.watches: dict[str, Watch] = {}
         self.node, self.zone = "", ""
+        self.roots = False  # the gateway checks roots
         self.fresh = True
         self.count = 0
         self.void: list[tuple[int, int]] = []  # changes that a rejected response answered for
@@ -107,13 +129,14 @@
         self._meter(now)
         if request.HasField("node") and not self.node:
             self.node, self.zone = request.node.id, request.node.locality.zone
+            self.roots = statement.FEATURE in request.node.client_features and self.variant == "delta"
         if not self.node:
             raise ProtocolError("the first request names no node.id; set one for each gateway")
         if request.type_url not in ORDER:
             self.notes.append(Note("unknown_type", request.type_url[:200], {}))
             return
         watch = self.watches.setdefault(request.type_url, Watch())
-        self._answer(watch, request)
+        self._answer(now, watch, request)
         self._subscribe(now, request.type_url, watch, request)
 
     def _meter(self, now: int) -> None:
@@ -123,7 +146,7 @@
         if self.allowance < 0:
             raise ProtocolError(f"over {REQUEST_RATE:g} requests a second: no client needs that", "RESOURCE_EXHAUSTED")
 
-    def _answer(self, watch: Watch, request: object) -> None:
+    def _answer(self, now: int, watch: Watch, request: object) -> None:
         """ACK or NACK. A stream is read in order, so an answer settles what went before as accepted, unless
         it was rejected in a request of its own, before or after."""
         nonce = request.response_nonce
@@ -137,6 +160,7 @@
                     self._reject(request, watch, flight)
                 else:
                     self._accept(watch, flight.versions)
+                    watch.since = now
                 if mine:
                     break
             while len(watch.settled) > RECENT:
@@ -147,6 +171,7 @@
             self.notes.append(Note("stale", SHORT[request.type_url], {"nonce": nonce[:80]}))
 
     def _accept(self, watch: Watch, versions: dict[str, str]) -> None:
+        watch.repairs = 0
         for name, version in versions.items():
             if version:
                 watch.held[name] = version
@@ -157,13 +182,15 @@
     def _reject(self, request: object, watch: Watch, flight: Flight) -> None:
         """A rejection says that something in a response is bad, not what. The response is cut in halves until
         the bad resource stands alone; that text is never sent again, all others get through."""
-        versions, why = flight.versions, request.error_detail.message[:500]
+        versions, why = flight.versions, request.error_detail.message[:MOST_WHY]
         self.void.append((flight.due.first, flight.upto))
         for name, version in versions.items():
-            if watch.sent.get(name) == version:
-                watch.sent.pop(name)
-                if name in watch.held:
-                    watch.sent[name] = watch.held[name]
+            if watch.sent.get(name, "") == version:
+                watch.will_hold(name, watch.held.get(name, ""))
+        theirs = statement.ranges_of(why)
+        if theirs is not None:
+            self._mismatch(request.type_url, watch, theirs, why)
+            return
         names = [n for n, v in versions.items() if self._version(request.type_url, n) == v]
         if len(versions) > 1:
             half = (len(names) + 1) // 2
@@ -176,6 +203,39 @@
             self.notes.append(Note("rejected", SHORT[request.type_url],
                                    {"resource": name, "version": version, "why": why}))
 
+    def _mismatch(self, kind: str, watch: Watch, theirs: str, why: str) -> None:
+        """The gateway holds something else than it should. The ranges that differ from what it should hold are
+        replaced once no flight is out; if that does not help, or its ranges cannot be read, all of them."""
+        try:
+            ranges = self._target(kind, watch).differing(theirs)
+        except ValueError:
+            ranges = []
+        if not ranges or watch.repairs:
+            ranges = list(range(RANGES))
+        if watch.repair is None:
+            watch.repairs += 1
+            self.notes.append(Note("roots_differ", SHORT[kind], {"why": why.partition(";")[0], "ranges": len(ranges)}))
+        watch.repair = ranges
+        chosen = set(ranges)  # outside of them it holds what it should
+        watch.begin_with({n: v for n in self.catalogue.by[kind]
+                          if watch.wants(n) and (v := self._version(kind, n)) and range_of(n) not in chosen})
+
+    def _target(self, kind: str, watch: Watch) -> Digest:
+        """What the gateway should hold of a type."""
+        return Digest({n: v for n in self.catalogue.by[kind] if watch.wants(n) and (v := self._version(kind, n))})
+
+    def _replace(self, now: int, kind: str, watch: Watch) -> bytes:
+        """One response that replaces whole ranges, whatever the gateway holds in them."""
+        ranges, watch.repair = watch.repair or [], None
+        names = [n for n in within(self.catalogue.by[kind], ranges) if watch.wants(n)]
+        for name in within(list(watch.sent), ranges):
+            watch.will_hold(name, "")
+        dues = [watch.due.pop(n) for n in names if n in watch.due]
+        for name in names:
+            watch.rejected.pop(name, None)
+        due = Due(min((d.first for d in dues), default=0), now, len(names))
+        return self._send(now, kind, watch, {n: self._version(kind, n) for n in names}, due, tuple(ranges))
+
     def _version(self, kind: str, name: str) -> str:
         resource = self.catalogue.get(kind, name)
         return resource.version if resource else ""
@@ -220,7 +280,7 @@
         return all(len(w.flights) < MOST_FLIGHTS for w in self.watches.values())
 
     def busy(self) -> bool:
-        return any(w.due or w.apart for w in self.watches.values())
+        return any(w.due or w.apart or w.repair is not None for w in self.watches.values())
 
     def unanswered(self) -> int:
         return sum(len(w.flights) for w in self.watches.values())
@@ -243,6 +303,10 @@
             watch = self.watches.get(kind)
             if watch is None or len(watch.flights) >= MOST_FLIGHTS:
                 continue
+            if watch.repair is not None:
+                if watch.flights:
+                    continue  # they will be refused as well
+                return self._replace(now, kind, watch)
             while watch.due or watch.apart:
                 names = self._pick(kind, watch)
                 response = self._compose(now, kind, watch, names)
@@ -277,18 +341,25 @@
         given = [due for due in dues if due is not None]
         due = Due(min((d.first for d in given), default=0), min((d.ordered for d in given if d.ordered), default=now),
                   max((d.lines for d in given), default=0))
+        return self._send(now, kind, watch, {name: self._version(kind, name) for name in send}, due)
+
+    def _send(self, now: int, kind: str, watch: Watch, versions: dict[str, str], due: Due,
+              replaces: tuple[int, ...] = ()) -> bytes:
+        """One response under way."""
         self.count += 1
         nonce = f"{self.count}.{due.ordered}.{now}.{due.lines}"
-        versions = {name: self._version(kind, name) for name in send}
         watch.flights[nonce] = Flight(nonce, versions, due, self.catalogue.published.seq)
         watch.last = nonce
-        watch.sent.update(versions)
-        return self._render(kind, nonce, versions)
+        start = watch.digest.root() if self.roots else ""
+        for name, version in versions.items():
+            watch.will_hold(name, version)
+        said = statement.Statement(start, watch.digest.root(), replaces).text() if self.roots else ""
+        return self._render(kind, nonce, versions, said)
 
     def _whole(self, kind: str, watch: Watch, names: list[str]) -> list[str]:
         return names
 
-    def _render(self, kind: str, nonce: str, versions: dict[str, str]) -> bytes:
+    def _render(self, kind: str, nonce: str, versions: dict[str, str], said: str) -> bytes:
         raise NotImplementedError
 
     def version_info(self) -> str:
@@ -313,7 +384,7 @@
         wanted = known if wildcard else names & known
         had = known if watch.wildcard and not first else watch.names & known
         for gone in (watch.names - names) if not wildcard else ():
-            watch.sent.pop(gone, None)
+            watch.will_hold(gone, "")
             watch.held.pop(gone, None)
             watch.due.pop(gone, None)
         watch.names, watch.wildcard = names, wildcard
@@ -326,7 +397,7 @@
             return names
         return [n for n in self.catalogue.by[CDS] if watch.wants(n)]
 
-    def _render(self, kind: str, nonce: str, versions: dict[str, str]) -> bytes:
+    def _render(self, kind: str, nonce: str, versions: dict[str, str], said: str) -> bytes:
         chunks = [self.catalogue.by[kind][name].sotw for name in versions if name in self.catalogue.by[kind]]
         head = discovery_pb2.DiscoveryResponse(version_info=self.version_info(), type_url=kind, nonce=nonce)
         return b"".join([*chunks, head.SerializeToString()])
@@ -342,7 +413,7 @@
         first, watch.begun = not watch.begun, True
         if first:
             held = dict(request.initial_resource_versions)
-            watch.held, watch.sent = dict(held), dict(held)
+            watch.begin_with(held)
             if held:
                 self.fresh = False
             if not wanted:
@@ -363,17 +434,19 @@
         if name == "*":
             watch.wildcard = False
             for other in [n for n in watch.sent if n not in watch.names]:
-                watch.sent.pop(other)
+                watch.will_hold(other, "")
         else:
             watch.names.discard(name)
             if not watch.wildcard:
-                watch.sent.pop(name, None)
+                watch.will_hold(name, "")
                 watch.held.pop(name, None)
                 watch.due.pop(name, None)
 
-    def _render(self, kind: str, nonce: str, versions: dict[str, str]) -> bytes:
+    def _render(self, kind: str, nonce: str, versions: dict[str, str], said: str) -> bytes:
         chunks = [self.catalogue.by[kind][name].delta for name, version in versions.items() if version]
         gone = [name for name, version in versions.items() if not version]
         head = discovery_pb2.DeltaDiscoveryResponse(
             system_version_info=self.version_info(), type_url=kind, nonce=nonce, removed_resources=gone)
+        if said:
+            head.control_plane.identifier = said
         return b"".join([*chunks, head.SerializeToString()])
