--- /dev/null
+++ b/benchmarks/versions.py
@@ -0,0 +1,342 @@
+"""Versions of the tables: cost of deltas and hashes, the store, and the time of a way back.
+
+    python -m benchmarks.versions --out benchmarks/versions.json
+
+`deltas`: 400 slices of 60 lines each, sessions and gateways' holdings in one process, no sockets: bytes and CPU of a
+change of one line, of 1% and of all, against the whole table (the baseline, what a pilot without versions would send),
+and what stating and checking roots costs. `store`: 10,000 versions. `hash`: a change against a digest made anew.
+`back`: a pilot's process, fifty gateways and ten proxies that lose a tenth of their streams, `rollback` by the
+command line.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+import os
+import platform
+import random
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+import structlog
+from envoy.service.discovery.v3 import discovery_pb2
+
+from damsonpick import interface as api
+from damsonpick.engine.clock import Clock
+from damsonpick.proxy.follow import Follower
+from damsonpick.proxy.holdings import Asker, Holdings
+from damsonpick.proxy.program import Proxy
+from damsonpick.proxy.settings import Own, ProxySettings, RequestClass
+from damsonpick.roster.redial import Redial
+from damsonpick.settings import load
+from damsonpick.tables.published import Published
+from damsonpick.versions.digest import Digest
+from damsonpick.versions.keeper import Keeper
+from damsonpick.versions.store import VersionStore
+from damsonpick.xds.names import EDS
+from damsonpick.xds.resources import Catalogue
+from damsonpick.xds.session import DeltaSession, Due
+
+SLICES, LINES = 400, 60
+SETTINGS = """[pilot]
+zone = a
+zones = a, b
+state = state
+[tables]
+slices = {slices}
+[rules]
+drain_grace = 2.2 s
+bare_limit = 2.8 s
+cold_share = 0.2
+cold_time = 15 s
+fall_multiple = 4
+fall_time = 1.5 s
+[channel]
+lines_per_second = 0
+limit = 1000000
+[list]
+source = file
+file = servers.ini
+poll = 20 ms
+[log]
+format = json
+[class page]
+aim = 1.5 s
+deadline = 4 s
+"""
+LOG = structlog.wrap_logger(None, processors=[structlog.testing.LogCapture()])
+
+
+def server(k: int) -> str:
+    return f"127.0.0.1:{9001 + k}"
+
+
+class Gateway:
+    """One gateway's holdings and the pilot's session for it, with nothing between."""
+
+    def __init__(self, catalogue: Catalogue, checks: bool, name: str) -> None:
+        self.session, self.holdings = DeltaSession(catalogue, 1), Holdings()
+        self.asker = Asker(self.holdings, name, "a", True)
+        if not checks:
+            del self.asker.node.client_features[:]
+        units = [n for n in catalogue.by[EDS]]
+        self.session.receive(0, self.asker.opening(EDS, units))
+
+    def take(self, now: int) -> tuple[int, float, float]:
+        """All that is due: bytes, CPU of the pilot, CPU of the gateway."""
+        size, pilot, own = 0, 0.0, 0.0
+        while True:
+            start = time.process_time()
+            response = self.session.compose(now)
+            pilot += time.process_time() - start
+            if response is None:
+                return size, pilot, own
+            size += len(response)
+            message = discovery_pb2.DeltaDiscoveryResponse.FromString(response)
+            start = time.process_time()
+            kind, resources, removed = self.asker.read(message)
+            self.holdings.take(kind, resources, removed, self.asker.stated(message))
+            own += time.process_time() - start
+            start = time.process_time()
+            self.session.receive(now, self.asker.verdict(message, ""))
+            pilot += time.process_time() - start
+
+
+def filled(folder: Path) -> tuple[Published, Catalogue]:
+    (folder / "pilot.ini").write_text(SETTINGS.format(slices=SLICES))
+    published = Published(("page",), SLICES)
+    for n in range(SLICES):
+        published.restore(n, {server(k): 1.0 for k in range(LINES)})
+    return published, Catalogue(published, load(folder / "pilot.ini"), lambda name: "a")
+
+
+def deltas(folder: Path, count: int, rng: random.Random) -> dict[str, object]:
+    published, catalogue = filled(folder)
+    found: dict[str, object] = {"gateways": count}
+    fleets = {checks: [Gateway(catalogue, checks, f"g{k}") for k in range(count)] for checks in (True, False)}
+    for checks, fleet in fleets.items():
+        runs = [g.take(1) for g in fleet]
+        found[f"whole, roots {'checked' if checks else 'not stated'}"] = _row(runs)
+    sizes = {"one line": 1, "1%": SLICES * LINES // 100, "all": SLICES * LINES}
+    for name, number in sizes.items():
+        places = [(n, k) for n in range(SLICES) for k in range(LINES)]
+        orders = [api.SetLine(n, server(k), rng.uniform(1, 9)) for n, k in rng.sample(places, number)]
+        change = published.apply(orders)
+        start = time.process_time()
+        catalogue.refresh(change.lines)
+        refresh = time.process_time() - start
+        for checks, fleet in fleets.items():
+            for g in fleet:
+                g.session.change(change.lines, Due(change.seq, 1, change.cost()))
+            row = _row([g.take(2) for g in fleet])
+            whole = found[f"whole, roots {'checked' if checks else 'not stated'}"]
+            row |= {"refresh_ms": round(refresh * 1e3, 2), "bytes_to_whole": round(row["bytes"] / whole["bytes"], 5),
+                    "pilot_cpu_to_whole": round(row["pilot_us"] / whole["pilot_us"], 4)}
+            found[f"{name}, roots {'checked' if checks else 'not stated'}"] = row
+    assert all(g.holdings.versions[EDS] == fleets[True][0].holdings.versions[EDS] for f in fleets.values() for g in f)
+    return found
+
+
+def _row(runs: list[tuple[int, float, float]]) -> dict[str, float]:
+    """Means for one gateway."""
+    size, pilot, own = (statistics.mean(r[k] for r in runs) for k in range(3))
+    return {"bytes": round(size), "pilot_us": round(pilot * 1e6, 1), "gateway_us": round(own * 1e6, 1)}
+
+
+def hashes() -> dict[str, float]:
+    """A digest moved by a change of so many names, to one made anew of all."""
+    names = {f"slice/{n}": f"{n:016x}" for n in range(SLICES)}
+    start = time.process_time()
+    for _ in range(20):
+        Digest(names).root()
+    anew = (time.process_time() - start) / 20
+    found = {"anew_us": round(anew * 1e6, 1)}
+    digest = Digest(names)
+    for changed in (1, 4, 40, 400):
+        start = time.process_time()
+        for k in range(20):
+            for n in range(changed):
+                digest.change(f"slice/{n}", f"{n + k:016x}", f"{n + k + 1:016x}")
+            digest.root()
+        found[f"change of {changed}, to anew"] = round((time.process_time() - start) / 20 / anew, 4)
+    return found
+
+
+def store(folder: Path, count: int, rng: random.Random) -> dict[str, float]:
+    """`count` versions of one to ten lines each."""
+    published, catalogue = filled(folder)
+    keeper = Keeper(published, catalogue.versions, VersionStore(folder / "v.db"), count + 10, 10**18, LOG)
+    keeper.start(0)
+    start = time.perf_counter()
+    for k in range(count):
+        change = published.apply([api.SetLine(rng.randrange(SLICES), server(rng.randrange(LINES)), rng.uniform(1, 9))
+                                  for _ in range(rng.randint(1, 10))])
+        catalogue.refresh(change.lines)
+        keeper.note(k, change.lines, "module")
+    took = time.perf_counter() - start
+    keeper.store.close()
+    size = sum(p.stat().st_size for p in folder.glob("v.db*"))
+    again = Keeper(published, catalogue.versions, VersionStore(folder / "v.db"), count + 10, 10**18, LOG)
+    start = time.perf_counter()
+    again.start(count)
+    opened = time.perf_counter() - start
+    start = time.perf_counter()
+    again.history.at(1)
+    return {"versions": count, "bytes_a_version": round(size / count), "ms_a_version": round(took / count * 1e3, 3),
+            "start_s": round(opened, 3), "oldest_state_s": round(time.perf_counter() - start, 3)}
+
+
+# -- the way back, through sockets
+
+
+class Watched:
+    """Checks after each message that no slice is without an open line."""
+
+    def __init__(self, name: str, holdings: Holdings) -> None:
+        self.name, self.holdings, self.bare, self.seen = name, holdings, 0, 0
+
+    def said(self, event: str, **details: object) -> None:
+        if event == "got" and not details["nack"]:
+            self.seen += 1
+            tables = self.holdings.tables
+            self.bare += sum(not self.holdings.open_lines(n) for n in tables if n != "fleet" and tables[n].lines)
+
+
+async def back(folder: Path, seed: int) -> dict[str, float]:
+    rng = random.Random(seed)
+    (folder / "pilot.ini").write_text(SETTINGS.format(slices=100))
+    port = folder / "port"
+    listed(folder, 12)
+    with (folder / "log").open("w") as log:
+        pilot = subprocess.Popen([sys.executable, "-m", "damsonpick", "run", str(folder / "pilot.ini"), "--port-file",
+                                  str(port)], stderr=log, stdout=log)
+    try:
+        while not port.exists():
+            await anyio.sleep(0.02)
+        return await _back(folder, rng, port)
+    finally:
+        pilot.terminate()
+        pilot.wait(10)
+
+
+def listed(folder: Path, count: int, draining: int = -1) -> None:
+    part = folder / "servers.part"
+    part.write_text("".join(f"[server {server(k)}]\nzone = {'ab'[k % 2]}\nstate = "
+                            f"{'terminating' if k == draining else 'in_service'}\n" for k in range(count)))
+    part.replace(folder / "servers.ini")
+
+
+async def _back(folder: Path, rng: random.Random, port: Path) -> dict[str, float]:
+    gates: list[Follower] = []
+    watched: list[Watched] = []
+    cut = {"on": False}
+    down: dict[str, float] = {}
+    async with anyio.create_task_group() as group:
+        for k in range(50):
+            holdings = Holdings()
+            watch = Watched(f"g{k}", holdings)
+            gates.append(Follower(f"g{k}", "ab"[k % 2], lambda: ["127.0.0.1:" + port.read_text().strip()], holdings,
+                                  Clock(), Redial(rng, 0.05, 0.3), lambda *a: None, lambda: {}, watch.said, LOG))
+            watched.append(watch)
+            group.start_soon(gates[-1].run)
+        for k in range(10):
+            settings = ProxySettings(proxy=Own(name=f"p{k}", zone="ab"[k % 2], slices=100, port_file=port),
+                                     classes={"page": RequestClass(deadline=10**9)})
+            proxy = Proxy(settings, LOG, seed=k)
+            watch = Watched(f"p{k}", proxy.router.holdings)
+            proxy.follower.said = watch.said
+            gates.append(proxy.follower)
+            watched.append(watch)
+            group.start_soon(_run, proxy)
+        for gate in gates:
+            gate.may_dial = lambda n=gate.name: down.get(n, 0.0) < anyio.current_time()
+
+        async def lose() -> None:
+            """Every 0.3 s a tenth of the gateways loses its stream for a moment."""
+            while True:
+                await anyio.sleep(0.3)
+                if cut["on"]:
+                    for gate in rng.sample(gates, len(gates) // 10):
+                        down[gate.name] = anyio.current_time() + rng.uniform(0.05, 0.3)
+
+        group.start_soon(lose)
+        await _until(folder, 60, False)
+        first = (await _say(folder, "list"))["newest"]
+        listed(folder, 12, draining=3)
+        await anyio.sleep(1.0)
+        listed(folder, 12)
+        await anyio.sleep(0.5)
+        cut["on"] = True
+        await anyio.sleep(1.0)
+        start = anyio.current_time()
+        done = await _say(folder, "rollback", str(first))
+        said = anyio.current_time() - start
+        await anyio.sleep(0.6)
+        cut["on"] = False
+        await _until(folder, 60, True)
+        took = anyio.current_time() - start
+        result = {"rollback_said_s": round(said, 3), "all_verified_s": round(took, 3), "lines": done["lines"],
+                  "bare": sum(w.bare for w in watched), "messages": sum(w.seen for w in watched)}
+        group.cancel_scope.cancel()
+    return result
+
+
+async def _run(proxy: Proxy) -> None:
+    async with proxy.running():
+        await anyio.sleep_forever()
+
+
+async def _say(folder: Path, *words: str) -> dict:
+    done = await anyio.to_thread.run_sync(lambda: subprocess.run(
+        [sys.executable, "-m", "damsonpick", "versions", words[0], str(folder / "pilot.ini"), *words[1:], "--json"],
+        capture_output=True, text=True))
+    if done.returncode not in (0, 1):
+        raise RuntimeError(done.stderr)
+    return json.loads(done.stdout)
+
+
+async def _until(folder: Path, count: int, verified: bool) -> None:
+    """Until every gateway holds the newest version."""
+    with anyio.fail_after(30):
+        while True:
+            with contextlib.suppress(RuntimeError):
+                rows = (await _say(folder, "who"))["gateways"]
+                if len(rows) == count and all(g["holds"] and (g["verified"] or not verified) for g in rows):
+                    return
+            await anyio.sleep(0.02)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--out", type=Path)
+    parser.add_argument("--repeat", type=int, default=5)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    result: dict[str, object] = {
+        "command": "python -m benchmarks.versions --out benchmarks/versions.json", "seed": args.seed,
+        "machine": {"python": platform.python_version(), "cores": os.cpu_count()}, "hash": hashes(), "deltas": [],
+        "back": []}
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = Path(scratch)
+        for count in (100, 1000):
+            result["deltas"].append(deltas(folder, count, random.Random(args.seed)))
+            print(json.dumps(result["deltas"][-1], indent=1), flush=True)
+        result["store"] = store(folder, 10_000, random.Random(args.seed))
+        print(json.dumps(result["hash"]), json.dumps(result["store"]), flush=True)
+    for k in range(args.repeat):
+        with tempfile.TemporaryDirectory() as scratch:
+            result["back"].append(anyio.run(back, Path(scratch), args.seed + k))
+            print(json.dumps(result["back"][-1]), flush=True)
+    if args.out:
+        args.out.write_text(json.dumps(result, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -59,7 +59,8 @@
         self.list_wanted = False
         self.told: dict[str, str] = {}  # endpoint: state as last logged
         self.levels: tuple[float, ...] = ()
-        self.pinned = False
+        self.pinned = self.list_changed = False
+        self.gone: dict[int, dict[str, float]] = {}  # lines that a rollback took out; gateways may hold them yet
         self.withheld = 0  # orders of the last step that the pin held back
 
     # -- life
@@ -92,8 +93,9 @@
             events.append(api.ListChanged("replace", kept))
         for number in sorted(self.owned):
             events.append(api.CustodyChanged(number, True))
-            events += [api.StoredLine(number, name, weight)
-                       for name, weight in self.published.tables[number].items()]
+            # what a rollback took out is told as well: if such a server drains now, it must be withdrawn
+            lines = {**self.gone.get(number, {}), **self.published.tables[number]}
+            events += [api.StoredLine(number, name, weight) for name, weight in lines.items()]
         if again:  # they hold withdrawals of the planner that failed
             events += [api.ProxyJoined(m.number, m.session.zone, 0.0, False) for m in self.hub.members.values()]
         self.hub.events = [e for e in self.hub.events if not isinstance(e, api.Applied)] if not again else []
@@ -102,6 +104,7 @@
     def tell(self, *events: api.Event) -> None:
         """Events for the next step, in order."""
         self.inbox.extend(events)
+        self.list_changed |= any(isinstance(e, api.ListChanged) for e in events)
 
     def relocate(self, now: int, endpoints: list[str]) -> list[Session]:
         """Send tables again whose endpoints turned out to stand elsewhere."""
@@ -146,6 +149,9 @@
             self._begin(now)
         if self.pinned != self.holds(now):
             self._repin(now)
+        if self.list_changed:
+            self.hub.hasten(now)
+            self.list_changed = False
         events, self.inbox = self.inbox, []
         events += self.hub.events
         self.hub.events = []
@@ -207,6 +213,8 @@
     def _repin(self, now: int) -> None:
         """A pin has begun or ended: the module goes on from the tables as they are, without a jump."""
         self.pinned = self.holds(now)
+        if not self.pinned:
+            self.gone.clear()
         self.log.info("pinned" if self.pinned else "unpinned", version=self.keeper.pin.version,
                       withheld=self.withheld)
         self._begin(now, anew=True)
@@ -242,6 +250,9 @@
                 "slices": len({o.table for o in made.orders}), "kept": [k._asdict() for k in made.kept]}
         if dry:
             return said | {"done": False, "generation": keeper.pin.generation}
+        for o in made.orders:
+            if not o.weight:
+                self.gone.setdefault(o.table, {})[o.endpoint] = self.published.tables[o.table][o.endpoint]
         change = self.published.apply(made.orders)
         self._save(now, {n: self.published.tables[n] for n in {o.table for o in made.orders}})
         keeper.set_pin(version.number, until)
--- a/damsonpick/xds/hub.py
+++ b/damsonpick/xds/hub.py
@@ -117,6 +117,10 @@
             if number in self.members:
                 self.channel.order(now, number, seq, mine, False)
 
+    def hasten(self, now: int) -> None:
+        """No stage waits any longer: servers may have begun to drain that only the new tables have left."""
+        self.later = [(now, *rest) for _, *rest in self.later]
+
     def _refused(self, session: Session) -> None:
         """Count who refuses what: a resource refused by too many goes to nobody else. Withdrawals always go."""
         for name, version in session.refused:
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -256,8 +256,10 @@
     def _stale(self, kind: str, watch: Watch, name: str) -> bool:
         """Whether the gateway neither has nor refused the present version."""
         version = self._version(kind, name)
-        if version and version in (watch.rejected.get(name), self.catalogue.stopped.get(name)):
+        if version and version == watch.rejected.get(name):
             return False
+        if version and version == self.catalogue.stopped.get(name) and watch.sent.get(name):
+            return False  # it keeps the former one; who has none is sent it all the same
         return watch.sent.get(name, "") != version
 
     # -- orders
--- a/tests/test_versions_pilot.py
+++ b/tests/test_versions_pilot.py
@@ -227,6 +227,27 @@
         assert all(t - first_b >= 1.2 for n, t in arrived.items() if n in ("g0", "g2")), arrived
 
 
+async def test_a_server_that_drains_while_a_stage_waits_is_left_everywhere_at_once(tmp_path):
+    """The tables no longer name it, but gateways whose stage has not come do: the drain must bind them."""
+    async with world(tmp_path, gates=4) as (pilot, gates):
+        await settled(pilot, gates)
+        first, before = (await say(pilot, "list"))["newest"], weights(gates[0])
+        pilot.list(s1="in_service", s2="in_service", s3="terminating")
+        await soon(lambda: _off(gates, "127.0.0.1:9003"))
+        moved = {n for unit, t in weights(gates[0]).items() for n in t if n not in before[unit]}
+        await say(pilot, "pin")
+        pilot.list(s1="in_service", s2="in_service", s3="in_service")
+        await soon(lambda: _in_again(gates))
+        await say(pilot, "rollback", str(first), "--stages", "b,a", "--hold", "60 s")
+        victim = min(moved)
+        states = {f"s{k}": "in_service" for k in (1, 2, 3)} | {f"s{victim[-1]}": "terminating"}
+        pilot.list(**states)
+        with anyio.fail_after(2.2):  # the grace of a drain
+            while not await _withdrawn(gates, victim):
+                await anyio.sleep(0.02)
+        assert all(any(n != victim for n in t) for g in gates for t in weights(g).values()), "no slice is bare"
+
+
 async def _off(gates, name):
     return all(name not in t for g in gates for t in weights(g).values())
 
