--- a/tests/test_versions_pilot.py
+++ b/tests/test_versions_pilot.py
@@ -18,7 +18,7 @@
 from damsonpick.proxy.follow import Follower
 from damsonpick.proxy.holdings import Holdings
 from damsonpick.roster.redial import Redial
-from damsonpick.xds.names import EDS
+from damsonpick.xds.names import CDS, EDS
 from tests.pilots import Pilot, until
 
 pytestmark = pytest.mark.anyio
@@ -260,6 +260,42 @@
     return (await say(pilot, "list"))["newest"] > number
 
 
+async def test_a_rollback_during_a_rollback_while_a_gateway_reads_late(tmp_path):
+    async with world(tmp_path, gates=3) as (pilot, gates):
+        await settled(pilot, gates)
+        first = (await say(pilot, "list"))["newest"]
+        pilot.list(s1="in_service", s2="in_service", s3="terminating")
+        await soon(lambda: _off(gates, "127.0.0.1:9003"))
+        second = (await say(pilot, "list"))["newest"]
+        pilot.list(s1="in_service", s2="in_service", s3="in_service")
+        await soon(lambda: _in_again(gates))
+        gates[0].follower.pause = lambda: 0.4  # newer deltas are in flight to it when the next rollback comes
+        await say(pilot, "rollback", str(first))
+        await say(pilot, "rollback", str(second))
+        back = await say(pilot, "rollback", str(first))
+        assert back["done"] and back["same"] in (True, False)
+        gates[0].follower.pause = lambda: 0.0
+        await settled(pilot, gates)
+        assert weights(gates[0]) == weights(gates[1]) == weights(gates[2])
+        assert (await say(pilot, "list"))["pinned"] == first
+
+
+async def test_a_gateway_from_another_pilots_history_or_a_pruned_version_is_put_right(tmp_path):
+    async with world(tmp_path, gates=2) as (pilot, gates):
+        await settled(pilot, gates)
+        stranger = Gate(tmp_path, "stranger", "b")
+        for n in range(6):  # versions that this pilot never made, one name that it does not have
+            stranger.holdings._hold(EDS, f"slice/{n}", f"{n:016x}")
+        for kind in (CDS, EDS):
+            stranger.holdings._hold(kind, "slice/99", "9" * 16)
+        async with anyio.create_task_group() as group:
+            group.start_soon(stranger.follower.run)
+            held = await settled(pilot, [*gates, stranger])
+            assert {g["gateway"] for g in held["gateways"]} == {"g0", "g1", "stranger"}
+            assert weights(stranger) == weights(gates[0])
+            group.cancel_scope.cancel()
+
+
 async def test_the_pilot_killed_in_the_middle_of_going_back_and_forth(tmp_path):
     rng = random.Random(8)
     async with world(tmp_path, gates=3, servers=4) as (pilot, gates):
