A history that cannot be opened is said with file and remedy, without a traceback

Cause: only the tables' store error was caught at the start. Measured: a test with a file that is no database; exit code 2, the file left alone.

--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -64,6 +64,7 @@
     from damsonpick.daemon.logs import configure
     from damsonpick.daemon.pilot import Pilot
     from damsonpick.store.sqlite import StoreError
+    from damsonpick.versions.store import VersionStoreError
 
     log = configure(settings.log.format, settings.log.level)
 
@@ -80,7 +81,7 @@
 
     try:
         anyio.run(life)
-    except StoreError as error:
+    except (StoreError, VersionStoreError) as error:
         click.echo(str(error), err=True)
         sys.exit(WRONG)
     except (RuntimeError, OSError) as error:
--- a/tests/test_versions_pilot.py
+++ b/tests/test_versions_pilot.py
@@ -348,3 +348,15 @@
     done = subprocess.run([sys.executable, "-m", "damsonpick", "versions", "list", str(pilot.file)],
                           capture_output=True, text=True, timeout=30)
     assert done.returncode == 3 and "no pilot answers" in done.stderr
+
+
+def test_a_history_that_is_no_database_is_said_with_its_file_and_left_alone(tmp_path):
+    pilot = Pilot(tmp_path)
+    pilot.list(s1="in_service")
+    (tmp_path / "state").mkdir()
+    (tmp_path / "state" / "versions.db").write_bytes(b"this is no database, but 4096 bytes of text" * 100)
+    before = (tmp_path / "state" / "versions.db").read_bytes()
+    done = subprocess.run([sys.executable, "-m", "damsonpick", "run", str(pilot.file)], capture_output=True, text=True,
+                          timeout=30)
+    assert done.returncode == 2 and "versions.db" in done.stderr and "move the file away" in done.stderr
+    assert "Traceback" not in done.stderr and (tmp_path / "state" / "versions.db").read_bytes() == before
