One piece where two stood: port files, gRPC's stray cancellations, kinds, differences

Port files were written in two places and read in two (wire/portfile.py); the follower guarded against stray cancellations beside wire/calls.py (calls.guarded serves both); the type of a unit was told in three places (kind_of); differences were applied by two loops; three troubles struck servers down in the same words; the versions benchmark had settings, a pilot and a list of its own beside the tests' (tests/pilots.py). Hot path: a version no longer looks up every resource, nor every slice's level, for a change of a few units. A clearing loop in the session's repair had nothing left to clear.

--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -18,8 +18,6 @@
 import platform
 import random
 import statistics
-import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -43,34 +41,9 @@
 from damsonpick.xds.names import EDS
 from damsonpick.xds.resources import Catalogue
 from damsonpick.xds.session import DeltaSession, Due
+from tests.pilots import SETTINGS, Pilot
 
 SLICES, LINES, READERS = 400, 60, 10
-SETTINGS = """[pilot]
-zone = a
-zones = a, b
-state = state
-[tables]
-slices = {slices}
-[rules]
-drain_grace = 2.2 s
-bare_limit = 2.8 s
-cold_share = 0.2
-cold_time = 15 s
-fall_multiple = 4
-fall_time = 1.5 s
-[channel]
-lines_per_second = 0
-limit = 1000000
-[list]
-source = file
-file = servers.ini
-poll = 20 ms
-[log]
-format = json
-[class page]
-aim = 1.5 s
-deadline = 4 s
-"""
 LOG = structlog.wrap_logger(None, processors=[structlog.testing.LogCapture()])
 
 
@@ -112,7 +85,7 @@
 
 
 def filled(folder: Path) -> tuple[Published, Catalogue]:
-    (folder / "pilot.ini").write_text(SETTINGS.format(slices=SLICES))
+    (folder / "pilot.ini").write_text(SETTINGS.format(slices=SLICES, rate=0))
     published = Published(("page",), SLICES)
     for n in range(SLICES):
         published.restore(n, {server(k): 1.0 for k in range(LINES)})
@@ -221,30 +194,20 @@
 
 
 async def back(folder: Path, seed: int) -> dict[str, float]:
-    rng = random.Random(seed)
-    (folder / "pilot.ini").write_text(SETTINGS.format(slices=100))
-    port = folder / "port"
-    listed(folder, 12)
-    with (folder / "log").open("w") as log:
-        pilot = subprocess.Popen([sys.executable, "-m", "damsonpick", "run", str(folder / "pilot.ini"), "--port-file",
-                                  str(port)], stderr=log, stdout=log)
+    pilot = Pilot(folder, slices=100)
+    listed(pilot)
+    await anyio.to_thread.run_sync(pilot.start)
     try:
-        while not port.exists():
-            await anyio.sleep(0.02)
-        return await _back(folder, rng, port)
+        return await _back(pilot, random.Random(seed))
     finally:
-        pilot.terminate()
-        pilot.wait(10)
+        pilot.stop()
 
 
-def listed(folder: Path, count: int, draining: int = -1) -> None:
-    part = folder / "servers.part"
-    part.write_text("".join(f"[server {server(k)}]\nzone = {'ab'[k % 2]}\nstate = "
-                            f"{'terminating' if k == draining else 'in_service'}\n" for k in range(count)))
-    part.replace(folder / "servers.ini")
+def listed(pilot: Pilot, draining: str = "") -> None:
+    pilot.list(**{n: "terminating" if n == draining else "in_service" for n in (f"s{k}" for k in range(1, 13))})
 
 
-async def _back(folder: Path, rng: random.Random, port: Path) -> dict[str, float]:
+async def _back(pilot: Pilot, rng: random.Random) -> dict[str, float]:
     gates: list[Follower] = []
     watched: list[Watched] = []
     cut = {"on": False}
@@ -254,12 +217,12 @@
         for k in range(50):
             holdings = Holdings()
             watch = Watched(f"g{k}", holdings)
-            gates.append(Follower(f"g{k}", "ab"[k % 2], lambda: ["127.0.0.1:" + port.read_text().strip()], holdings,
+            gates.append(Follower(f"g{k}", "ab"[k % 2], lambda: [f"127.0.0.1:{pilot.port}"], holdings,
                                   Clock(), Redial(rng, 0.05, 0.3), lambda *a: None, lambda: {}, watch.said, LOG))
             watched.append(watch)
             group.start_soon(gates[-1].run)
         for k in range(10):
-            settings = ProxySettings(proxy=Own(name=f"p{k}", zone="ab"[k % 2], slices=100, port_file=port),
+            settings = ProxySettings(proxy=Own(name=f"p{k}", zone="ab"[k % 2], slices=100, port_file=pilot.port_file),
                                      classes={"page": RequestClass(deadline=10**9)})
             proxy = Proxy(settings, LOG, seed=k)
             watch = Watched(f"p{k}", proxy.router.holdings)
@@ -280,7 +243,7 @@
 
         group.start_soon(lose)
         try:
-            result = await _script(folder, cut, watched)
+            result = await _script(pilot, cut, watched)
         except Exception as error:
             failed.append(error)
         group.cancel_scope.cancel()
@@ -289,22 +252,22 @@
     return result
 
 
-async def _script(folder: Path, cut: dict[str, bool], watched: list[Watched]) -> dict[str, float]:
+async def _script(pilot: Pilot, cut: dict[str, bool], watched: list[Watched]) -> dict[str, float]:
     """A server drains and returns; back to before, while streams are lost."""
-    await _until(folder, 60, False)
-    first = (await _say(folder, "list"))["newest"]
-    listed(folder, 12, draining=3)
+    await _until(pilot, 60, False)
+    first = (await _say(pilot, "list"))["newest"]
+    listed(pilot, draining="s4")
     await anyio.sleep(1.0)
-    listed(folder, 12)
+    listed(pilot)
     await anyio.sleep(0.5)
     cut["on"] = True
     await anyio.sleep(1.0)
     start = anyio.current_time()
-    done = await _say(folder, "rollback", str(first))
+    done = await _say(pilot, "rollback", str(first))
     said = anyio.current_time() - start
     await anyio.sleep(0.6)
     cut["on"] = False
-    await _until(folder, 60, True)
+    await _until(pilot, 60, True)
     took = anyio.current_time() - start
     return {"rollback_said_s": round(said, 3), "all_verified_s": round(took, 3), "lines": done["lines"],
               "bare_at_the_end": sum(len(w.since) for w in watched),
@@ -316,21 +279,19 @@
         await anyio.sleep_forever()
 
 
-async def _say(folder: Path, *words: str) -> dict:
-    done = await anyio.to_thread.run_sync(lambda: subprocess.run(
-        [sys.executable, "-m", "damsonpick", "versions", words[0], str(folder / "pilot.ini"), *words[1:], "--json"],
-        capture_output=True, text=True))
+async def _say(pilot: Pilot, *words: str) -> dict:
+    done = await anyio.to_thread.run_sync(lambda: pilot.versions(*words))
     if done.returncode not in (0, 1):
         raise RuntimeError(done.stderr)
     return json.loads(done.stdout)
 
 
-async def _until(folder: Path, count: int, verified: bool) -> None:
+async def _until(pilot: Pilot, count: int, verified: bool) -> None:
     """Until every gateway holds the newest version."""
     with anyio.fail_after(20):
         while True:
             with contextlib.suppress(RuntimeError):
-                rows = (await _say(folder, "who"))["gateways"]
+                rows = (await _say(pilot, "who"))["gateways"]
                 if len(rows) == count and all(g["holds"] and (g["verified"] or not verified) for g in rows):
                     return
             await anyio.sleep(0.02)
--- a/damsonpick/badday/troubles.py
+++ b/damsonpick/badday/troubles.py
@@ -13,11 +13,15 @@
 
 async def crash(stage: Stage, t: Trouble) -> None:
     """Processes die; they come back cold after `len`."""
-    struck = stage.some(t.part)
+    await _down(stage, stage.some(t.part), "crash", t.len)
+
+
+async def _down(stage: Stage, struck: list, why: str, span: int) -> None:
+    """Processes end at once, the list hears of it later, and after a while they start cold."""
     for server in struck:
-        server.stop("crash")
+        server.stop(why)
         stage.later(server, "terminated")
-    await stage.wait(t.len)
+    await stage.wait(span)
     for server in struck:
         await stage.restart(server)
 
@@ -32,12 +36,7 @@
         for server in group:
             await stage.tell(server, "terminating")
         await stage.wait(t.extra * SECOND)
-        for server in group:
-            server.stop("deploy")
-            stage.later(server, "terminated")
-        await stage.wait(RESTART)
-        for server in group:
-            await stage.restart(server)
+        await _down(stage, group, "deploy", RESTART)
         await stage.wait(max(0, t.len / rounds - t.extra * SECOND - RESTART))
 
 
@@ -111,13 +110,7 @@
     """A building loses half of its servers at once; they come back cold after `len`."""
     zone = stage.rng.choice(stage.script.day.zones)
     inside = [s for s in stage.servers if s.make.zone == zone and s.up]
-    struck = stage.rng.sample(inside, len(inside) // 2)
-    for server in struck:
-        server.stop("half of a building lost")
-        stage.later(server, "terminated")
-    await stage.wait(t.len)
-    for server in struck:
-        await stage.restart(server)
+    await _down(stage, stage.rng.sample(inside, len(inside) // 2), "half of a building lost", t.len)
 
 
 async def class_fail(stage: Stage, t: Trouble) -> None:
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -65,6 +65,7 @@
     from damsonpick.daemon.pilot import Pilot
     from damsonpick.store.sqlite import StoreError
     from damsonpick.versions.store import VersionStoreError
+    from damsonpick.wire import portfile
 
     log = configure(settings.log.format, settings.log.level)
 
@@ -72,10 +73,7 @@
         pilot = Pilot(settings, log, **parts)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with pilot.running():
-                if port_file:
-                    part = port_file.with_suffix(".part")
-                    part.write_text(f"{pilot.port}\n")
-                    part.replace(port_file)
+                portfile.write(port_file, pilot.port)
                 async for _ in signals:
                     break
 
--- a/damsonpick/daemon/questions.py
+++ b/damsonpick/daemon/questions.py
@@ -56,29 +56,28 @@
     def _who(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
         history = self.keeper.history
         asked = history.find(str(request["version"])) if request.get("version") else history.newest()
-        rows = []
-        for row in self.hub.holders(now, history.roots):
-            rows.append(row | {"holds": row["root"] == asked.root})
+        rows = [row | {"holds": row["root"] == asked.root} for row in self.hub.holders(now, history.roots)]
         return {"version": asked.number, "root": asked.root, "gateways": rows,
                 "stopped": dict(self.hub.catalogue.stopped)}
 
-    def _rollback(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
+    def _until(self, now: int, request: dict[str, Any]) -> int:
+        """When a pin ends, ns."""
         span = request.get("pin_ns")
+        return now + (self.settings.versions.pin if span is None else int(span))
+
+    def _rollback(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
         zones, hold = request.get("stages") or [], int(request.get("hold_ns") or 0)
         known = self.settings.pilot.zones
         if unknown := [z for z in zones if z not in known]:
             raise ValueError(f"zone {unknown[0]}: there are {', '.join(known)}")
         order = [*zones, *(z for z in known if z not in zones)] if zones else []
-        until = now + (self.settings.versions.pin if span is None else int(span))
-        return self.engine.roll_back(now, str(request["version"]), until, request.get("expected"),
+        return self.engine.roll_back(now, str(request["version"]), self._until(now, request), request.get("expected"),
                                      bool(request.get("dry")), {z: k * hold for k, z in enumerate(order)})
 
     def _pin(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
         """Hold the tables as they are."""
         self.keeper.pin.check(request.get("expected"))
-        span = request.get("pin_ns")
-        newest = self.keeper.history.newest()
-        self.keeper.set_pin(newest.number, now + (self.settings.versions.pin if span is None else int(span)))
+        self.keeper.set_pin(self.keeper.history.newest().number, self._until(now, request))
         return self._state(now)
 
     def _release(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
--- a/damsonpick/proxy/follow.py
+++ b/damsonpick/proxy/follow.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -54,7 +53,7 @@
                 address, turn = known[turn % len(known)], turn + 1
                 why = "ended"
                 try:
-                    await self._linked(address)
+                    await calls.guarded(self._session(address))
                 except* calls.StreamEnded as group:
                     why = str(group.exceptions[0])
                 if self.linked:
@@ -63,17 +62,6 @@
                     self.said("stream", up=False)
             await anyio.sleep(self.redial.failed() / self.clock.rate)
 
-    async def _linked(self, address: str) -> None:
-        """One session. gRPC may end a call that is cut off here with a cancellation of its own, which is nobody's
-        wish to end this task; let out, it would end the whole task group without a word."""
-        try:
-            await self._session(address)
-        except asyncio.CancelledError:
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                raise
-            raise calls.StreamEnded("the call was cancelled") from None
-
     async def _session(self, address: str) -> None:
         async with grpc.aio.insecure_channel(address, OPTIONS) as channel:
             stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
--- a/damsonpick/proxy/messages.py
+++ b/damsonpick/proxy/messages.py
@@ -237,7 +237,7 @@
         return Head(start, self.fields, length, chunked, keep, expects, named)
 
 
-def forwardable(head: Head, without: bytes = b"content-length") -> list[tuple[bytes, bytes]]:
+def forwardable(head: Head, without: bytes = b"") -> list[tuple[bytes, bytes]]:
     """Headers without those of one hop, those that `Connection` names (RFC 9110, 7.6.1) and one more."""
     if b"connection" not in head.named:
         return [p for p in head.headers if p[0] not in HOP and p[0] != without]
--- a/damsonpick/proxy/program.py
+++ b/damsonpick/proxy/program.py
@@ -21,6 +21,7 @@
 from damsonpick.proxy.settings import ProxySettings
 from damsonpick.proxy.stream import Stream
 from damsonpick.roster.redial import Redial
+from damsonpick.wire import portfile
 from damsonpick.xds.names import CDS, EDS, RDS
 
 BACKLOG = 1024
@@ -54,10 +55,7 @@
         own = self.settings.proxy
         if own.port_file is None:
             return list(own.pilots)
-        try:
-            return ["127.0.0.1:" + own.port_file.read_text().strip()]
-        except OSError:
-            return []
+        return [address] if (address := portfile.address(own.port_file)) else []
 
     def kept(self) -> Path | None:
         state = self.settings.proxy.state
@@ -139,10 +137,7 @@
     proxy = Proxy(settings, log)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with proxy.running():
-            if port_file:
-                part = port_file.with_suffix(".part")
-                part.write_text(f"{proxy.port}\n")
-                part.replace(port_file)
+            portfile.write(port_file, proxy.port)
             async for _ in signals:
                 break
             log.info("proxy_drains", clients=proxy.relay.clients)
--- a/damsonpick/proxy/relay.py
+++ b/damsonpick/proxy/relay.py
@@ -122,7 +122,8 @@
                 head = await client.head()
             except http.BadMessage as error:
                 self.said("bad", why=str(error))
-                await self._last(client, http.plain(error.status, str(error), close=True))
+                await client.send(http.plain(error.status, str(error), close=True))
+                await client.stream.linger()
                 return True
             except TimeoutError:
                 if client.reader.raw:
@@ -139,11 +140,6 @@
                 return client.ended or not client.begun
         return True
 
-    async def _last(self, client: Client, answer: bytes) -> None:
-        """An answer after which nothing is read but to let it arrive."""
-        await client.send(answer)
-        await client.stream.linger()
-
     async def _request(self, client: Client, head: http.Head) -> bool:
         """One request to its end; returns whether the connection may go on."""
         now = self.clock.now()
--- a/damsonpick/standins/fleet.py
+++ b/damsonpick/standins/fleet.py
@@ -18,6 +18,7 @@
 from damsonpick.standins.gateway import Gateway, Kind, Links
 from damsonpick.standins.proxied import Proxied
 from damsonpick.standins.record import Recorder
+from damsonpick.wire import portfile
 
 BACK_AFTER = 0.15  # s of the day until a client repeats what is safe to repeat
 
@@ -69,10 +70,7 @@
         self.count = 0
 
     def pilot(self) -> str:
-        try:
-            return "127.0.0.1:" + self.port_file.read_text().strip()
-        except OSError:
-            return ""
+        return portfile.address(self.port_file)
 
     async def run(self) -> None:
         async with anyio.create_task_group() as group:
--- a/damsonpick/versions/history.py
+++ b/damsonpick/versions/history.py
@@ -15,6 +15,7 @@
 
 Content = dict[str, float]
 State = dict[str, Content]
+BEFORE, AFTER = 0, 1  # sides of a difference
 Difference = dict[str, dict[str, tuple[float | None, float | None]]]  # unit: key: (before, after)
 
 
@@ -49,8 +50,8 @@
     else:
         place = int(unit.partition("/")[2])
         found = {f"line {name}": weight for name, weight in published.tables[place].items()}
-    for (table, k), level in published.levels.items():
-        if table == place and level != 1.0:
+    for k in range(len(published.classes)):
+        if (level := published.levels.get((place, k), 1.0)) != 1.0:
             found[f"level {k}"] = level
     return found
 
@@ -77,17 +78,15 @@
     # -- growing
 
     def start(self, versions: Iterable[Version]) -> None:
-        """Versions as the store holds them, oldest first; the newest state is built from the differences."""
+        """Versions as the store holds them, oldest first; `begin` or `resume` then sets the newest state."""
         for version in versions:
             self.versions[version.number] = version
             self.roots[version.root] = version.number
 
     def begin(self, now: int, published: Published, root: str, cause: str) -> Version:
         """The state at a start. It is a version of its own: what changed since the last one is its difference."""
-        state = {unit: content(published, unit) for unit in published.units()}
-        known = self._replayed(state)
-        self.state = state
-        return self._add(now, root, cause, "", {u: d for u in state if (d := between(known.get(u, {}), state[u]))})
+        self.resume(published)
+        return self._add(now, root, cause, "", _difference(self._replayed(), self.state))
 
     def resume(self, published: Published) -> None:
         """The newest version is what is published: nothing has changed since."""
@@ -112,18 +111,12 @@
         self.roots[root] = version.number
         return version
 
-    def _replayed(self, present: State) -> State:
+    def _replayed(self) -> State:
         """The state after the newest kept version, as far as the kept differences tell: what none of them names
         has not changed since, so it is as it is now."""
-        state = {unit: dict(keys) for unit, keys in present.items()}
+        state = _copy(self.state)
         for version in self.versions.values():
-            for unit, keys in version.difference.items():
-                have = state.setdefault(unit, {})
-                for key, (_, after) in keys.items():
-                    if after is None:
-                        have.pop(key, None)
-                    else:
-                        have[key] = after
+            _apply(state, version.difference, AFTER)
         return state
 
     def prune(self, now: int) -> int:
@@ -159,27 +152,35 @@
 
     def at(self, number: int) -> State:
         """The state of a kept version."""
-        state = {unit: dict(keys) for unit, keys in self.state.items()}
+        state = _copy(self.state)
         for version in reversed(self.versions.values()):
             if version.number == number:
                 return state
-            _undo(state, version.difference)
+            _apply(state, version.difference, BEFORE)
         raise UnknownVersion(f"version {number}: not kept")
 
     def difference(self, one: int, other: int) -> Difference:
         """What is to change to come from one kept version to another."""
-        before, after = self.at(one), self.at(other)
-        return {u: d for u in {**before, **after} if (d := between(before.get(u, {}), after.get(u, {})))}
+        return _difference(self.at(one), self.at(other))
 
 
-def _undo(state: State, difference: Difference) -> None:
+def _copy(state: State) -> State:
+    return {unit: dict(keys) for unit, keys in state.items()}
+
+
+def _difference(before: State, after: State) -> Difference:
+    return {u: d for u in {**before, **after} if (d := between(before.get(u, {}), after.get(u, {})))}
+
+
+def _apply(state: State, difference: Difference, side: int) -> None:
+    """Bring a state to one side of a difference."""
     for unit, keys in difference.items():
         have = state.setdefault(unit, {})
-        for key, (before, _) in keys.items():
-            if before is None:
+        for key, sides in keys.items():
+            if sides[side] is None:
                 have.pop(key, None)
             else:
-                have[key] = before
+                have[key] = sides[side]
 
 
 def lines(state: State, number: int) -> dict[str, float]:
--- a/damsonpick/versions/keeper.py
+++ b/damsonpick/versions/keeper.py
@@ -27,10 +27,10 @@
 
 
 class Keeper:
-    """Args: published; held: version by name of every resource now; store; keep, age: retention; log."""
+    """Args: published; held: versions by unit, of the units named; store; keep, age: retention; log."""
 
-    def __init__(self, published: Published, held: Callable[[], Mapping[str, str]], store: Store, keep: int, age: int,
-                 log: Any) -> None:
+    def __init__(self, published: Published, held: Callable[[Iterable[str]], Mapping[str, str]],
+                 store: Store, keep: int, age: int, log: Any) -> None:
         self.published, self.held, self.store, self.log = published, held, store, log
         self.history, self.pin = History(keep, age), Pin()
         self.digest, self.known = Digest(), {}
@@ -44,7 +44,7 @@
             self.log.error("history_damaged", what=wrong, remedy="what is left is used; nothing else depends on it")
         self.history.start(versions)
         self.pin.version, self.pin.until, self.pin.generation = self.store.pin()
-        self.known = dict(self.held())
+        self.known = dict(self.held(self.published.units()))
         self.digest = Digest(self.known)
         last = self.history.newest()
         if last is None or last.root != self.digest.root():
@@ -54,9 +54,8 @@
 
     def note(self, now: int, units: Iterable[str], cause: str, words: str = "") -> Version | None:
         """A change has been published."""
-        held, units = self.held(), list(units)
-        for unit in units:
-            version = held.get(unit, "")
+        units = list(units)
+        for unit, version in self.held(units).items():
             self.digest.change(unit, self.known.get(unit, ""), version)
             self.known[unit] = version
         made = self.history.add(now, self.published, units, self.digest.root(), cause, words)
--- a/damsonpick/wire/calls.py
+++ b/damsonpick/wire/calls.py
@@ -23,7 +23,7 @@
     Raises:
         StreamEnded: there is none.
     """
-    got = await _guarded(call.read())
+    got = await guarded(call.read())
     if got is grpc.aio.EOF:
         raise StreamEnded("the peer ended the stream")
     return got
@@ -35,10 +35,15 @@
     Raises:
         StreamEnded: the call is over.
     """
-    await _guarded(call.write(message))
+    await guarded(call.write(message))
 
 
-async def _guarded(awaitable: Any) -> Any:
+async def guarded(awaitable: Any) -> Any:
+    """What it brings. Also for a whole session: a call cut off on this side may end with a cancellation of its own.
+
+    Raises:
+        StreamEnded: the call is over.
+    """
     try:
         return await awaitable
     except asyncio.CancelledError:
--- a/damsonpick/xds/resources.py
+++ b/damsonpick/xds/resources.py
@@ -34,6 +34,11 @@
 RETRIES = {0: ("", 0), 1: (NEVER_RAN, 1), 2: (ANY_FAILURE, 1), 3: (ANY_FAILURE, 2)}
 
 
+def kind_of(unit: str) -> str:
+    """The type of the resource that carries a unit."""
+    return RDS if unit == ROUTES else EDS
+
+
 class Resource(NamedTuple):
     version: str
     delta: bytes  # a DeltaDiscoveryResponse with nothing but this resource
@@ -63,7 +68,7 @@
         return [place for place in map(self._build, units) if place]
 
     def _build(self, unit: str) -> tuple[str, str] | None:
-        kind = RDS if unit == ROUTES else EDS
+        kind = kind_of(unit)
         return (kind, unit) if self._put(kind, unit, self._content(unit)) else None
 
     def _content(self, unit: str) -> object:
@@ -84,9 +89,9 @@
             discovery_pb2.DiscoveryResponse(resources=[packed]).SerializeToString())
         return True
 
-    def versions(self) -> dict[str, str]:
-        """Version by name of every table and the routes."""
-        return {name: r.version for kind in (EDS, RDS) for name, r in self.by[kind].items()}
+    def versions(self, units: Iterable[str]) -> dict[str, str]:
+        """Version by unit."""
+        return {unit: self.by[kind_of(unit)][unit].version for unit in units}
 
     def get(self, kind: str, name: str) -> Resource | None:
         return self.by[kind].get(name)
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -13,11 +13,11 @@
 
 from envoy.service.discovery.v3 import discovery_pb2
 
-from damsonpick.tables.published import FLEET, ROUTES
+from damsonpick.tables.published import FLEET
 from damsonpick.versions import statement
 from damsonpick.versions.digest import RANGES, Digest, range_of, within
-from damsonpick.xds.names import CDS, EDS, ORDER, RDS, SHORT
-from damsonpick.xds.resources import Catalogue
+from damsonpick.xds.names import CDS, EDS, ORDER, SHORT
+from damsonpick.xds.resources import Catalogue, kind_of
 
 MOST_FLIGHTS = 4  # responses not yet answered; beyond, orders wait and are merged
 MOST_BYTES = 1_000_000  # of resources in one response; a quarter of what a gRPC client takes by default
@@ -208,8 +208,9 @@
     def _mismatch(self, kind: str, watch: Watch, theirs: str, why: str) -> None:
         """The gateway holds something else than it should. The ranges that differ from what it should hold are
         replaced once no flight is out; if that does not help, or its ranges cannot be read, all of them."""
+        target = {n: v for n in self.catalogue.by[kind] if watch.wants(n) and (v := self._version(kind, n))}
         try:
-            ranges = self._target(kind, watch).differing(theirs)
+            ranges = Digest(target).differing(theirs)
         except ValueError:
             ranges = []
         if not ranges or watch.repairs:
@@ -219,19 +220,12 @@
             self.notes.append(Note("roots_differ", SHORT[kind], {"why": why.partition(";")[0], "ranges": len(ranges)}))
         watch.repair = ranges
         chosen = set(ranges)  # outside of them it holds what it should
-        watch.begin_with({n: v for n in self.catalogue.by[kind]
-                          if watch.wants(n) and (v := self._version(kind, n)) and range_of(n) not in chosen})
-
-    def _target(self, kind: str, watch: Watch) -> Digest:
-        """What the gateway should hold of a type."""
-        return Digest({n: v for n in self.catalogue.by[kind] if watch.wants(n) and (v := self._version(kind, n))})
+        watch.begin_with({n: v for n, v in target.items() if range_of(n) not in chosen})
 
     def _replace(self, now: int, kind: str, watch: Watch) -> bytes:
         """One response that replaces whole ranges, whatever the gateway holds in them."""
         ranges, watch.repair = watch.repair or [], None
         names = [n for n in within(self.catalogue.by[kind], ranges) if watch.wants(n)]
-        for name in within(list(watch.sent), ranges):
-            watch.will_hold(name, "")
         dues = [watch.due.pop(n) for n in names if n in watch.due]
         for name in names:
             watch.rejected.pop(name, None)
@@ -267,13 +261,12 @@
     def change(self, units: Iterable[str], due: Due) -> None:
         """Resources that changed and whose turn it is."""
         for unit in units:
-            kind = RDS if unit == ROUTES else EDS
-            watch = self.watches.get(kind)
+            watch = self.watches.get(kind_of(unit))
             if watch is not None and watch.wants(unit) and unit not in watch.due:
                 watch.due[unit] = due
 
     def wants(self, unit: str) -> bool:
-        watch = self.watches.get(RDS if unit == ROUTES else EDS)
+        watch = self.watches.get(kind_of(unit))
         return watch is not None and watch.wants(unit)
 
     @property
--- a/tests/pilots.py
+++ b/tests/pilots.py
@@ -109,6 +109,12 @@
         assert done.returncode == 0, done.stderr
         return json.loads(done.stdout)
 
+    def versions(self, *words: str) -> subprocess.CompletedProcess:
+        """`damsonpick versions` with `--json`, as an operator gives it."""
+        return subprocess.run(
+            [sys.executable, "-m", "damsonpick", "versions", words[0], str(self.file), *words[1:], "--json"],
+            capture_output=True, text=True, timeout=30)
+
 
 def name(n: int) -> str:
     return f"127.0.0.1:{9000 + n}"
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -108,7 +108,9 @@
 def keeper(path, published=None, held=None, keep=100):
     published = published or Published(("page",), 4)
     versions = held if held is not None else {}
-    return Keeper(published, lambda: versions, VersionStore(path), keep, 10**18, LOG), published, versions
+    made = Keeper(published, lambda units: {u: versions[u] for u in units if u in versions}, VersionStore(path), keep,
+                  10**18, LOG)
+    return made, published, versions
 
 
 def step(made, published, versions, k):
--- a/tests/test_versions_pilot.py
+++ b/tests/test_versions_pilot.py
@@ -68,9 +68,7 @@
 
 async def say(pilot, *words, code=0):
     """One command of an operator."""
-    done = await anyio.to_thread.run_sync(lambda: subprocess.run(
-        [sys.executable, "-m", "damsonpick", "versions", words[0], str(pilot.file), *words[1:], "--json"],
-        capture_output=True, text=True, timeout=30))
+    done = await anyio.to_thread.run_sync(lambda: pilot.versions(*words))
     assert done.returncode == code, (done.returncode, done.stdout, done.stderr)
     return json.loads(done.stdout) if done.stdout else done.stderr
 
@@ -84,9 +82,7 @@
 
 async def all_hold(pilot):
     """Every gateway holds the newest version, by its own check."""
-    done = await anyio.to_thread.run_sync(lambda: subprocess.run(
-        [sys.executable, "-m", "damsonpick", "versions", "who", str(pilot.file), "--json"], capture_output=True,
-        text=True, timeout=30))
+    done = await anyio.to_thread.run_sync(lambda: pilot.versions("who"))
     if done.returncode not in (0, 1):
         return None
     reply = json.loads(done.stdout)
