Versions to their end: full disk, unopenable history, roots in both variants

A history that could not be opened kept the pilot from starting; one that could not be written waited for the next version; a restart inside a pin forgot lines that a rollback took out; state-of-the-world gateways could not check what they hold; levels could not be set back.

--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -181,8 +181,22 @@
     def __init__(self, name: str, holdings: Holdings) -> None:
         self.name, self.holdings, self.seen, self.longest = name, holdings, 0, 0.0
         self.since: dict[str, float] = {}
+        self.joined = time.monotonic()
+        self.drain, self.late = "", 0.0  # a server that drains; longest that it was in reach, s
+        self.told = 0.0
+
+    def watch(self, server: str) -> None:
+        """From now on this server drains."""
+        self.drain, self.told = server, time.monotonic()
+
+    def reaches(self) -> bool:
+        return any(self.drain in self.holdings.open_lines(n) for n in self.holdings.tables)
 
     def said(self, event: str, **details: object) -> None:
+        if event == "stream" and details["up"]:
+            self.joined = time.monotonic()
+        if self.drain and event == "got" and self.reaches():  # the drain rule counts from the later of both
+            self.late = max(self.late, time.monotonic() - max(self.told, self.joined))
         if event == "got" and not details["nack"]:
             self.seen += 1
             tables = self.holdings.tables
@@ -256,8 +270,13 @@
     """A server drains and returns; back to before, while streams are lost."""
     await _until(pilot, 60, False)
     first = (await _say(pilot, "list"))["newest"]
+    for w in watched:
+        w.watch(server(3))
     listed(pilot, draining="s4")
     await anyio.sleep(1.0)
+    first_drain = max(w.late for w in watched)
+    for w in watched:
+        w.drain, w.late = "", 0.0
     listed(pilot)
     await anyio.sleep(0.5)
     cut["on"] = True
@@ -265,12 +284,18 @@
     start = anyio.current_time()
     done = await _say(pilot, "rollback", str(first))
     said = anyio.current_time() - start
+    listed(pilot, draining="s7")  # a drain while the rollback is under way and streams break
+    for w in watched:
+        w.watch(server(6))
     await anyio.sleep(0.6)
     cut["on"] = False
     await _until(pilot, 60, True)
     took = anyio.current_time() - start
+    reached = sum(w.reaches() for w in watched)
     return {"rollback_said_s": round(said, 3), "all_verified_s": round(took, 3), "lines": done["lines"],
-              "bare_at_the_end": sum(len(w.since) for w in watched),
+            "drain_in_reach_s": round(first_drain, 3), "drained_in_reach_at_the_end": reached,
+            "drain_while_going_back_s": round(max(w.late for w in watched), 3),
+            "bare_at_the_end": sum(len(w.since) for w in watched),
             "longest_bare_s": round(max(w.longest for w in watched), 4), "messages": sum(w.seen for w in watched)}
 
 
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -64,7 +64,6 @@
     from damsonpick.daemon.logs import configure
     from damsonpick.daemon.pilot import Pilot
     from damsonpick.store.sqlite import StoreError
-    from damsonpick.versions.store import VersionStoreError
     from damsonpick.wire import portfile
 
     log = configure(settings.log.format, settings.log.level)
@@ -79,7 +78,7 @@
 
     try:
         anyio.run(life)
-    except (StoreError, VersionStoreError) as error:
+    except StoreError as error:
         click.echo(str(error), err=True)
         sys.exit(WRONG)
     except (RuntimeError, OSError) as error:
--- a/damsonpick/cli/versions.py
+++ b/damsonpick/cli/versions.py
@@ -127,15 +127,17 @@
 @click.option("--dry-run", is_flag=True, help="Say what would be done.")
 @click.option("--stages", help="Zones one after another, such as north,south; the others follow.")
 @click.option("--hold", help="Time between stages, such as 5 s.")
+@click.option("--levels", is_flag=True, help="Set what is let in, and retry modes, back as well.")
 @span
 @expect
 @as_json
-def rollback(file: Path, version: str, dry_run: bool, stages: str | None, hold: str | None, span: str | None,
-             expect: int | None, as_json: bool) -> None:
+def rollback(file: Path, version: str, dry_run: bool, stages: str | None, hold: str | None, levels: bool,
+             span: str | None, expect: int | None, as_json: bool) -> None:
     """Set the tables as VERSION had them, as far as is safe, and pin them.
 
     What had to differ is listed: barred servers are not revived, cold ones get no more than they have, and a slice
-    that would be left without a server keeps what it has. Withdrawals and levels go on.
+    that would be left without a server keeps what it has. Withdrawals go on; levels go on unless --levels sets them
+    back: then they may fall until the pin ends, and not rise.
     """
     zones = [z.strip() for z in stages.split(",") if z.strip()] if stages else []
     if zones and hold is None:
@@ -144,7 +146,7 @@
     if expect is None:
         expect = _ask(file, "list", most=1)["generation"]
     reply = _ask(file, "rollback", version=version, dry=dry_run, pin_ns=_ns(span), expected=expect, stages=zones,
-                 hold_ns=_ns(hold))
+                 hold_ns=_ns(hold), levels=levels)
     if _out(reply, as_json):
         return
     verb = f"now version {reply['now']}" if reply["done"] else "would be done"
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -28,7 +28,7 @@
 from damsonpick.store.sqlite import Store
 from damsonpick.tables.published import Published
 from damsonpick.versions.keeper import Keeper
-from damsonpick.versions.store import VersionStore
+from damsonpick.versions.store import open_store
 from damsonpick.xds.hub import Hub
 from damsonpick.xds.names import EDS
 from damsonpick.xds.resources import Catalogue
@@ -66,7 +66,7 @@
         self.catalogue = Catalogue(self.published, s, lambda endpoint: self.roster.places.get(endpoint, ""))
         self.hub = Hub(self.published, self.catalogue, self.channel, self.store.gateway)
         self.hub.stop_share = s.versions.stop
-        self.history = VersionStore(s.history_path())
+        self.history = open_store(s.history_path())
         self.keeper = Keeper(self.published, self.catalogue.versions, self.history, s.versions.keep, s.versions.age,
                              log)
         self.engine = Engine(s, self.store, self.published, self.hub, self.roster, log, make, self.keeper)
--- a/damsonpick/daemon/questions.py
+++ b/damsonpick/daemon/questions.py
@@ -72,7 +72,8 @@
             raise ValueError(f"zone {unknown[0]}: there are {', '.join(known)}")
         order = [*zones, *(z for z in known if z not in zones)] if zones else []
         return self.engine.roll_back(now, str(request["version"]), self._until(now, request), request.get("expected"),
-                                     bool(request.get("dry")), {z: k * hold for k, z in enumerate(order)})
+                                     bool(request.get("dry")), {z: k * hold for k, z in enumerate(order)},
+                                     bool(request.get("levels")))
 
     def _pin(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
         """Hold the tables as they are."""
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -20,6 +20,7 @@
 from damsonpick.store.sqlite import Store
 from damsonpick.tables.published import Change, Published
 from damsonpick.versions import rollback
+from damsonpick.versions.history import number_of
 from damsonpick.versions.keeper import Keeper
 from damsonpick.xds.hub import Hub
 from damsonpick.xds.session import Session
@@ -74,6 +75,8 @@
         self.hub.catalogue.refresh(self.published.units())
         if self.keeper:
             self.keeper.start(now)
+            if self.holds(now):
+                self._recall_gone()
         self.owned = {charge.slice for charge in self.store.claim(self.owner, now, self.lease())}
         self._begin(now)
 
@@ -136,6 +139,8 @@
             times.append(self.save_at)
         if self.pinned:
             times.append(self.keeper.pin.until)
+        if self.keeper and self.keeper.pending:
+            times.append(self.keeper.retry_at)
         return min(times, default=None)
 
     def step(self, now: int) -> list[Session]:
@@ -143,6 +148,8 @@
         now = self.clock.take(now)
         if self.unsaved and now >= self.save_at:
             self._save(now, {})
+        if self.keeper and self.keeper.pending and now >= self.keeper.retry_at:
+            self.keeper.write(now)
         if self.planner is None:
             if now < self.restart_at:
                 return []
@@ -191,7 +198,8 @@
         if not table_orders:
             return []
         if self.pinned:
-            table_orders, self.withheld = self.keeper.pin.sift(table_orders, self.published.tables, self.barred)
+            table_orders, self.withheld = self.keeper.pin.sift(table_orders, self.published.tables, self.barred,
+                                                               self.published.level)
         change = self.published.apply(table_orders)
         touched = {o.table for o in table_orders if isinstance(o, api.SetLine | api.ClearTable)}
         self._save(now, {n: self.published.tables[n] for n in touched})
@@ -207,6 +215,18 @@
 
     # -- the way back
 
+    def _recall_gone(self) -> None:
+        """Lines that rollbacks of this pin took out before the restart: gateways may hold them yet, so that a
+        server which drains now must be withdrawn although no table names it."""
+        history = self.keeper.history
+        for version in history.versions.values():
+            if version.cause == "rollback" and version.number > self.keeper.pin.version:
+                for unit, keys in version.difference.items():
+                    number = number_of(unit)
+                    for key, (before, after) in keys.items():
+                        if number is not None and key.startswith("line ") and after is None:
+                            self.gone.setdefault(number, {})[key[5:]] = before
+
     def holds(self, now: int) -> bool:
         return self.keeper is not None and self.keeper.pin.holds(now)
 
@@ -229,7 +249,7 @@
         return ep is not None and self.planner.ramp(ep) < 1
 
     def roll_back(self, now: int, name: str, until: int, expected: int | None, dry: bool,
-                  stages: dict[str, int] | None = None) -> dict[str, Any]:
+                  stages: dict[str, int] | None = None, levels: bool = False) -> dict[str, Any]:
         """Set the tables as a kept version had them, as far as is safe, and pin them.
 
         Args:
@@ -237,6 +257,8 @@
             until: ns; how long the tables stay pinned.
             expected: the generation that the operator saw.
             dry: only say what would be done.
+            stages: ns to wait by zone.
+            levels: set levels and retry modes back as well; while pinned they may then fall and not rise.
 
         Raises:
             ValueError: no such version, or somebody else acted meanwhile.
@@ -245,17 +267,19 @@
         keeper.pin.check(expected)
         version = keeper.history.find(name)
         owned = {n: self.published.tables[n] for n in self.owned}
-        made = rollback.plan(keeper.history.at(version.number), owned, self.barred, self.cold)
-        said = {"version": version.number, "root": version.root, "lines": len(made.orders),
+        target = keeper.history.at(version.number)
+        made = rollback.plan(target, owned, self.barred, self.cold)
+        admit = rollback.admissions(target, keeper.history.state, len(self.published.classes)) if levels else []
+        said = {"version": version.number, "root": version.root, "lines": len(made.orders), "levels": len(admit),
                 "slices": len({o.table for o in made.orders}), "kept": [k._asdict() for k in made.kept]}
         if dry:
             return said | {"done": False, "generation": keeper.pin.generation}
         for o in made.orders:
             if not o.weight:
                 self.gone.setdefault(o.table, {})[o.endpoint] = self.published.tables[o.table][o.endpoint]
-        change = self.published.apply(made.orders)
+        change = self.published.apply([*made.orders, *admit])
         self._save(now, {n: self.published.tables[n] for n in {o.table for o in made.orders}})
-        keeper.set_pin(version.number, until)
+        keeper.set_pin(version.number, until, levels)
         self._publish(now, change, "rollback", f"to {version.number}", stages)
         self._repin(now)
         newest = keeper.history.newest()
--- a/damsonpick/proxy/follow.py
+++ b/damsonpick/proxy/follow.py
@@ -67,6 +67,8 @@
             stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
             call = stub.DeltaAggregatedResources() if self.delta else stub.StreamAggregatedResources()
             asker = Asker(self.holdings, self.name, self.zone, self.delta)
+            if not self.delta:
+                self.holdings.begin()
             await calls.write(call, asker.opening(CDS, [], self.version.get(CDS, "")))
             if self.holdings.versions[CDS] and self.delta:  # a pilot that has nothing new of clusters says nothing
                 await self._found(call, asker, address)
--- a/damsonpick/proxy/holdings.py
+++ b/damsonpick/proxy/holdings.py
@@ -99,6 +99,11 @@
                 self.tables.pop(name, None)
         return lost
 
+    def begin(self) -> None:
+        """A stream of the state-of-the-world variant begins: roots are over what comes on it. Tables stay in force."""
+        for kind in self.versions:
+            self.versions[kind], self.digests[kind] = {}, Digest()
+
     def _hold(self, kind: str, name: str, version: str) -> None:
         self.digests[kind].change(name, self.versions[kind].get(name, ""), version)
         if version:
@@ -151,8 +156,7 @@
         self.holdings, self.delta = holdings, delta
         self.node = base_pb2.Node(id=node, user_agent_name="damsonpick stand-in gateway")
         self.node.locality.zone = zone
-        if delta:
-            self.node.client_features.append(statement.FEATURE)
+        self.node.client_features.append(statement.FEATURE)
         self.asked: dict[str, list[str]] = {}
         self.accepted: dict[str, str] = {}
         self.nonces: dict[str, str] = {}  # of the last response of a type
@@ -186,12 +190,12 @@
             name = {CDS: cluster_pb2.Cluster, RDS: route_pb2.RouteConfiguration}.get(response.type_url)
             named = (endpoint_pb2.ClusterLoadAssignment.FromString(body.value).cluster_name if name is None
                      else name.FromString(body.value).name)
-            found.append((named, response.version_info, body.value))
+            found.append((named, xxhash.xxh3_64_hexdigest(body.value), body.value))
         return response.type_url, found, []
 
     def stated(self, response: object) -> statement.Statement | None:
-        """What a delta says of its roots."""
-        return statement.read(response.control_plane.identifier) if self.delta else None
+        """What a response says of its roots."""
+        return statement.read(response.control_plane.identifier)
 
     def verdict(self, response: object, bad: str) -> object:
         """ACK, or NACK with what was wrong."""
--- a/damsonpick/versions/history.py
+++ b/damsonpick/versions/history.py
@@ -48,7 +48,7 @@
         found = {f"out {name}": 1.0 for name in published.withdrawn}
         place = None
     else:
-        place = int(unit.partition("/")[2])
+        place = number_of(unit)
         found = {f"line {name}": weight for name, weight in published.tables[place].items()}
     for k in range(len(published.classes)):
         if (level := published.levels.get((place, k), 1.0)) != 1.0:
@@ -183,6 +183,12 @@
                 have[key] = sides[side]
 
 
+def number_of(unit: str) -> int | None:
+    """The slice of a unit; None: it is none."""
+    kind, _, number = unit.partition("/")
+    return int(number) if kind == "slice" else None
+
+
 def lines(state: State, number: int) -> dict[str, float]:
     """The lines of one slice in a state."""
     return {key[5:]: weight for key, weight in state.get(slice_unit(number), {}).items() if key.startswith("line ")}
--- a/damsonpick/versions/keeper.py
+++ b/damsonpick/versions/keeper.py
@@ -22,8 +22,8 @@
 
     def load(self) -> tuple[list[Version], str]: ...
     def append(self, versions: list[Version], lowest: int) -> None: ...
-    def pin(self) -> tuple[int, int, int]: ...
-    def set_pin(self, version: int, until: int, generation: int) -> None: ...
+    def pin(self) -> tuple[int, int, int, int]: ...
+    def set_pin(self, version: int, until: int, generation: int, levels: bool) -> None: ...
 
 
 class Keeper:
@@ -35,7 +35,7 @@
         self.history, self.pin = History(keep, age), Pin()
         self.digest, self.known = Digest(), {}
         self.pending: list[Version] = []
-        self.failing = False
+        self.failing, self.retry_at = False, 0
 
     def start(self, now: int) -> None:
         """Take up the history where it was left."""
@@ -43,7 +43,8 @@
         if wrong:
             self.log.error("history_damaged", what=wrong, remedy="what is left is used; nothing else depends on it")
         self.history.start(versions)
-        self.pin.version, self.pin.until, self.pin.generation = self.store.pin()
+        self.pin.version, self.pin.until, self.pin.generation, levels = self.store.pin()
+        self.pin.levels = bool(levels)
         self.known = dict(self.held(self.published.units()))
         self.digest = Digest(self.known)
         last = self.history.newest()
@@ -65,10 +66,15 @@
 
     def _keep(self, now: int, version: Version) -> None:
         self.pending.append(version)
+        self.write(now)
+
+    def write(self, now: int) -> None:
+        """Put what waits on disk; where that fails it is tried again a second later."""
         lowest = self.history.prune(now)
         try:
             self.store.append(self.pending, lowest)
         except Exception as error:
+            self.retry_at = now + SECOND
             if not self.failing:
                 self.log.error("history_not_written", error=str(error), waiting=len(self.pending),
                                remedy="free space or rights on the state folder; tables keep flowing meanwhile")
@@ -80,9 +86,9 @@
         self.failing = False
         self.pending.clear()
 
-    def set_pin(self, version: int, until: int) -> None:
-        """Hold the tables at a version until a time in ns."""
-        self.pin.set(version, until)
+    def set_pin(self, version: int, until: int, levels: bool = False) -> None:
+        """Hold the tables at a version until a time in ns; `levels`: what is let in may only fall meanwhile."""
+        self.pin.set(version, until, levels)
         self._write_pin()
 
     def release(self) -> None:
@@ -91,6 +97,6 @@
 
     def _write_pin(self) -> None:
         try:
-            self.store.set_pin(self.pin.version, self.pin.until, self.pin.generation)
+            self.store.set_pin(self.pin.version, self.pin.until, self.pin.generation, self.pin.levels)
         except Exception as error:
             self.log.error("pin_not_written", error=str(error), remedy="it holds until this pilot ends; free space")
--- a/damsonpick/versions/rollback.py
+++ b/damsonpick/versions/rollback.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from damsonpick import interface as api
+from damsonpick.tables.published import FLEET, ROUTES
 from damsonpick.versions import history
 
 Lines = Mapping[str, float]
@@ -51,6 +52,25 @@
     return Plan(orders, kept)
 
 
+def admissions(target: history.State, present: history.State, classes: int) -> list[api.Admit]:
+    """Orders that set levels and retry modes as a version had them; none where they are so already."""
+    orders: list[api.Admit] = []
+    for unit in {**present, **target}:
+        table = None if unit == FLEET else history.number_of(unit)
+        if unit != FLEET and table is None:
+            continue
+        for k in range(classes):
+            was, now = (_admission(state, unit, table, k) for state in (target, present))
+            if was != now:
+                orders.append(api.Admit(table, (k,), *was))
+    return orders
+
+
+def _admission(state: history.State, unit: str, table: int | None, k: int) -> tuple[float, int]:
+    mode = state.get(ROUTES, {}).get(f"retry {'-' if table is None else table} {k}", 0.0)
+    return state.get(unit, {}).get(f"level {k}", 1.0), int(mode)
+
+
 def _safe(number: int, asked: Lines, have: Lines, barred: Callable[[str], bool], cold: Callable[[str], bool],
           kept: list[Kept]) -> dict[str, float] | None:
     """The lines to set; None: the slice stays as it is."""
@@ -78,6 +98,7 @@
 
     def __init__(self) -> None:
         self.until, self.version, self.generation = 0, 0, 0
+        self.levels = False  # set back as well: until the pin ends they may fall and not rise
 
     def check(self, expected: int | None) -> None:
         """Compare before acting.
@@ -89,20 +110,20 @@
             raise ValueError(f"somebody else acted meanwhile (act {self.generation}, not {expected}); look at "
                              "`versions list` and decide anew")
 
-    def set(self, version: int, until: int) -> None:
-        self.version, self.until = version, until
+    def set(self, version: int, until: int, levels: bool = False) -> None:
+        self.version, self.until, self.levels = version, until, levels
         self.generation += 1
 
     def release(self) -> None:
-        self.until = self.version = 0
+        self.until, self.version, self.levels = 0, 0, False
         self.generation += 1
 
     def holds(self, now: int) -> bool:
         return self.until > now
 
-    def sift(self, orders: Iterable[api.Action], tables: Mapping[int, Lines],
-             barred: Callable[[str], bool]) -> tuple[list[api.Action], int]:
-        """Orders that flow while pinned, and how many were held back."""
+    def sift(self, orders: Iterable[api.Action], tables: Mapping[int, Lines], barred: Callable[[str], bool],
+             level: Callable[[int | None, int], float] = lambda *_: 0.0) -> tuple[list[api.Action], int]:
+        """Orders that flow while pinned, and how many were held back. `level`: let in now, by table and class."""
         flow: list[api.Action] = []
         held = 0
         lines: dict[int, dict[str, float]] = {}
@@ -116,7 +137,8 @@
                     have[order.endpoint] = order.weight
                 else:
                     have.pop(order.endpoint, None)
-            elif isinstance(order, api.ClearTable):
+            elif isinstance(order, api.ClearTable) or (self.levels and isinstance(order, api.Admit) and all(
+                    order.level >= level(order.table, k) for k in order.classes)):
                 held += 1
                 continue
             flow.append(order)
--- a/damsonpick/versions/store.py
+++ b/damsonpick/versions/store.py
@@ -20,7 +20,7 @@
 CREATE TABLE IF NOT EXISTS versions (number INTEGER PRIMARY KEY, root TEXT NOT NULL, parent INTEGER NOT NULL,
     at INTEGER NOT NULL, cause TEXT NOT NULL, note TEXT NOT NULL, difference BLOB NOT NULL, sum TEXT NOT NULL);
 CREATE TABLE IF NOT EXISTS pin (one INTEGER PRIMARY KEY CHECK (one = 1), version INTEGER NOT NULL,
-    until INTEGER NOT NULL, generation INTEGER NOT NULL);
+    until INTEGER NOT NULL, generation INTEGER NOT NULL, levels INTEGER NOT NULL DEFAULT 0);
 """
 
 
@@ -39,6 +39,8 @@
             self.db.execute("PRAGMA journal_mode = WAL")
             self.db.execute("PRAGMA synchronous = NORMAL")
             self.db.executescript(SCHEMA)
+            if "levels" not in {row[1] for row in self.db.execute("PRAGMA table_info(pin)")}:
+                self.db.execute("ALTER TABLE pin ADD COLUMN levels INTEGER NOT NULL DEFAULT 0")
         except (sqlite3.Error, OSError) as error:
             raise VersionStoreError(f"{path}: the history cannot be opened ({error}); check folder, rights and space, "
                                     "or move the file away to begin a new one") from None
@@ -69,18 +71,52 @@
             self.db.execute("ROLLBACK")
             raise
 
-    def pin(self) -> tuple[int, int, int]:
-        """(version, until, generation) as last set."""
-        row = self.db.execute("SELECT version, until, generation FROM pin").fetchone()
-        return row if row else (0, 0, 0)
+    def pin(self) -> tuple[int, int, int, int]:
+        """(version, until, generation, whether levels are held) as last set."""
+        row = self.db.execute("SELECT version, until, generation, levels FROM pin").fetchone()
+        return row if row else (0, 0, 0, 0)
 
-    def set_pin(self, version: int, until: int, generation: int) -> None:
-        self.db.execute("INSERT OR REPLACE INTO pin VALUES (1, ?, ?, ?)", (version, until, generation))
+    def set_pin(self, version: int, until: int, generation: int, levels: bool) -> None:
+        self.db.execute("INSERT OR REPLACE INTO pin (one, version, until, generation, levels) VALUES (1, ?, ?, ?, ?)",
+                        (version, until, generation, int(levels)))
 
     def close(self) -> None:
         self.db.close()
 
 
+class Unopened:
+    """In place of a history that cannot be opened: service goes on and versions are kept in memory.
+
+    What is on disk is left alone, to be looked at; a restart takes it up again once it is mended.
+    """
+
+    def __init__(self, why: VersionStoreError) -> None:
+        self.why = why
+
+    def load(self) -> tuple[list[Version], str]:
+        return [], str(self.why)
+
+    def append(self, versions: list[Version], lowest: int) -> None:
+        raise self.why
+
+    def pin(self) -> tuple[int, int, int, int]:
+        return (0, 0, 0, 0)
+
+    def set_pin(self, version: int, until: int, generation: int, levels: bool) -> None:
+        raise self.why
+
+    def close(self) -> None:
+        pass
+
+
+def open_store(path: Path) -> VersionStore | Unopened:
+    """The history of a folder, or what stands in its place."""
+    try:
+        return VersionStore(path)
+    except VersionStoreError as error:
+        return Unopened(error)
+
+
 def _row(version: Version) -> tuple[object, ...]:
     blob = zlib.compress(json.dumps(version.difference, separators=(",", ":"), sort_keys=True).encode(), 1)
     plain = (version.number, version.root, version.parent, version.at, version.cause, version.note)
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -130,7 +130,7 @@
         self._meter(now)
         if request.HasField("node") and not self.node:
             self.node, self.zone = request.node.id, request.node.locality.zone
-            self.roots = statement.FEATURE in request.node.client_features and self.variant == "delta"
+            self.roots = statement.FEATURE in request.node.client_features
         if not self.node:
             raise ProtocolError("the first request names no node.id; set one for each gateway")
         if request.type_url not in ORDER:
@@ -399,6 +399,8 @@
     def _render(self, kind: str, nonce: str, versions: dict[str, str], said: str) -> bytes:
         chunks = [self.catalogue.by[kind][name].sotw for name in versions if name in self.catalogue.by[kind]]
         head = discovery_pb2.DiscoveryResponse(version_info=self.version_info(), type_url=kind, nonce=nonce)
+        if said:
+            head.control_plane.identifier = said
         return b"".join([*chunks, head.SerializeToString()])
 
 
--- /dev/null
+++ b/tests/gates.py
@@ -0,0 +1,90 @@
+"""Gateways that follow a pilot's process and remember what they were sent, and an operator's commands to it."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+
+import anyio
+import structlog
+
+from damsonpick.engine.clock import Clock
+from damsonpick.proxy.follow import Follower
+from damsonpick.proxy.holdings import Holdings
+from damsonpick.roster.redial import Redial
+from tests.pilots import Pilot
+
+BOUND = 15.0  # s
+
+
+class Gate:
+    """A gateway that follows the pilot and remembers what it was sent."""
+
+    def __init__(self, folder, name, zone="a", delta=True):
+        self.name, self.zone, self.holdings, self.got = name, zone, Holdings(), []
+        log = structlog.wrap_logger(None, processors=[structlog.testing.LogCapture()])
+
+        def pilots():
+            with contextlib.suppress(OSError):
+                return ["127.0.0.1:" + (folder / "port").read_text().strip()]
+            return []
+
+        self.follower = Follower(name, zone, pilots, self.holdings, Clock(), Redial(random.Random(name), 0.02, 0.2),
+                                 lambda *a: None, lambda: {}, self._said, log, delta)
+
+    def _said(self, event, **details):
+        if event == "got":
+            self.got.append((anyio.current_time(), details))
+
+
+@contextlib.asynccontextmanager
+async def world(folder, gates=4, servers=3, delta=True, **more):
+    pilot = Pilot(folder, **more)
+    pilot.list(**{f"s{k}": "in_service" for k in range(1, servers + 1)})
+    await anyio.to_thread.run_sync(pilot.start)
+    made = [Gate(folder, f"g{k}", "ab"[k % 2], delta) for k in range(gates)]
+    try:
+        async with anyio.create_task_group() as group:
+            for gate in made:
+                group.start_soon(gate.follower.run)
+            yield pilot, made
+            group.cancel_scope.cancel()
+    finally:
+        pilot.stop()
+
+
+async def say(pilot, *words, code=0):
+    """One command of an operator."""
+    done = await anyio.to_thread.run_sync(lambda: pilot.versions(*words))
+    assert done.returncode == code, (done.returncode, done.stdout, done.stderr)
+    return json.loads(done.stdout) if done.stdout else done.stderr
+
+
+async def soon(what):
+    with anyio.fail_after(BOUND):
+        while not (found := await what()):
+            await anyio.sleep(0.05)
+    return found
+
+
+async def all_hold(pilot):
+    """Every gateway holds the newest version, by its own check."""
+    done = await anyio.to_thread.run_sync(lambda: pilot.versions("who"))
+    if done.returncode not in (0, 1):
+        return None
+    reply = json.loads(done.stdout)
+    rows = reply["gateways"]
+    return reply if rows and all(g["holds"] and g["verified"] and not g["pending"] for g in rows) else None
+
+
+async def settled(pilot, gates):
+    async def look():
+        reply = await all_hold(pilot)
+        return reply if reply and len(reply["gateways"]) == len(gates) else None
+
+    return await soon(look)
+
+
+def weights(gate):
+    return {n: {x: w for x, (w, _) in t.lines.items()} for n, t in gate.holdings.tables.items() if n != "fleet"}
