--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -39,6 +39,8 @@
 ALLOW_UP, ALLOW_PROBE = 1.15, 1.04  # growth a report period
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 STEPS = 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0  # levels for all; no class is shut out
+RECALL_GAIN, RECALL_MOST = 0.6, 1.5  # first correction of a recalled speed; most of a recalled best, to seen
+LAST_RESORT = 0.05  # trust below which an endpoint is only better than none
 RETRY = 1  # once, at another endpoint, on proof that the first never ran: safe for all, no double load
 # -- channel
 ROUND_MESSAGES = 2.0  # messages that a round may fill with further lines
@@ -48,9 +50,10 @@
 
 
 class Endpoint:
-    def __init__(self, name: str) -> None:
-        self.name, self.weight, self.state, self.started = name, 1.0, "unlisted", 0
+    def __init__(self, name: str, state: str = "unlisted") -> None:
+        self.name, self.weight, self.state, self.started = name, 1.0, state, 0
         self.speed = 1.0  # learned, against the fleet's median; the machine's, so it outlives a process
+        self.recalled, self.trust = 0.0, 1.0  # how much of the speed is hearsay; how far the list is believed
         self.forget()
 
     def forget(self) -> None:
@@ -185,6 +188,7 @@
         self.allow, self.best, self.cut_at = math.inf, 0.0, 0  # answers/s allowed, seen at best; last cut
         self.advised = 0.0  # answers/s that the fleet can give, as reckoned outside; 0: not known
         self.pace, self.admitted = 0.0, 1.0  # best answers/s for each unit of capacity; share let in
+        self.taken_over = False  # levels of an earlier life are in force and not yet weighed
         self.changed, self.landed, self.over = True, True, 0.0
         self.out: list[api.Action] = []
 
@@ -227,6 +231,7 @@
                 ep.speed = sum(like) / len(like) if like else ep.speed
             if entry.started != ep.started:
                 ep.forget()
+                ep.speed = 1.0 if ep.recalled else ep.speed  # hearsay of a process that is no more
             ep.started, ep.state = entry.started, entry.state
             ep.weight = entry.weight if entry.weight > 0 else 1.0
         self.changed = True
@@ -296,6 +301,34 @@
     def on_LoadAdvised(self, event: api.LoadAdvised) -> None:
         self.advised = event.rate
 
+    def on_EndpointRecalled(self, event: api.EndpointRecalled) -> None:
+        """Exception (restart): what an earlier life learned counts until evidence replaces it, which it does
+        faster than what was learned here. Wrong hearsay costs a slow or a fast server some seconds."""
+        ep = self.endpoints.get(event.endpoint)
+        if ep is not None and ep.started == event.started and not ep.heard:
+            ep.speed, ep.recalled = min(SPEEDS[1], max(SPEEDS[0], event.speed)), 1.0
+
+    def on_SliceRecalled(self, event: api.SliceRecalled) -> None:
+        piece = self.slices.get(event.slice)  # the first report counts as a surge and takes most of it back
+        if piece is not None and not any(piece.heard) and len(event.rates) == len(piece.rates):
+            piece.rates = list(event.rates)
+            piece.warmth.update(event.warmth)
+
+    def on_FleetRecalled(self, event: api.FleetRecalled) -> None:
+        """Exception (restart): proxies go on by the levels and withdrawals of an earlier life. Forgetting the
+        levels would open an overloaded fleet at once; they hold until reports come, which then decide."""
+        self.level = self.wanted = event.levels
+        self.shut.update(dict.fromkeys(event.shut, True))
+        self.best, self.pace, self.taken_over = event.best, event.pace, True
+        for name in event.shut:  # one that no list names stays out
+            self.endpoints.setdefault(name, Endpoint(name, "terminated"))
+        self.changed = True
+
+    def on_EndpointTrusted(self, event: api.EndpointTrusted) -> None:
+        if event.endpoint in self.endpoints:
+            self.endpoints[event.endpoint].trust = event.trust
+            self.changed = True
+
     def barred(self, name: str) -> bool:
         """No proxy may send there: told so by the list. Before a fresh list, the store is trusted."""
         state = self.endpoints[name].state
@@ -317,12 +350,13 @@
 
     def capacity(self, ep: Endpoint) -> float:
         """Listed weight, corrected for a start and learned speed."""
-        return ep.weight * self.ramp(ep) * ep.speed
+        return ep.weight * self.ramp(ep) * ep.speed * max(ep.trust, LAST_RESORT / 2)
 
     def usable(self) -> dict[str, float]:
         """Endpoints that may take slices, with their present capacity; doubtful ones are better than none."""
         fit = {n: self.capacity(ep) for n, ep in self.endpoints.items() if not self.barred(n)}
-        return {n: room for n, room in fit.items() if not self.shut.get(n)} or fit
+        fit = {n: room for n, room in fit.items() if not self.shut.get(n)} or fit
+        return {n: room for n, room in fit.items() if self.endpoints[n].trust >= LAST_RESORT} or fit
 
     def loads(self, names: Iterable[str]) -> dict[str, float]:
         """Heat that each endpoint should get from our slices as they are wanted."""
@@ -407,7 +441,8 @@
         usual = sum(sound.values()) / (len(sound) or 1) + 1e-9
         for ep in warm:
             target = middle / (ep.latency or middle) * min(1.0, sound[ep.name] / usual) ** FAILING
-            gain = SPEED_DOWN if target < ep.speed else SPEED_UP
+            gain = max(SPEED_DOWN if target < ep.speed else SPEED_UP, RECALL_GAIN * ep.recalled)
+            ep.recalled /= 2
             ep.speed *= (min(SPEEDS[1], max(SPEEDS[0], target)) / ep.speed) ** gain
 
     def shed(self) -> None:
@@ -421,8 +456,12 @@
         views, seen = sorted((v[2] / v[1], v[1]) for e in fresh for v in e.views.values() if v[1] > 0), 0.0
         half = sum(n for _, n in views) / 2
         late = next((time for time, n in views if (seen := seen + n) >= half), 0.0) / self.aim
-        self.best = max(good, self.best * BEST_KEPT)
         rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
+        if self.taken_over:  # what the levels of the earlier life let in is the first allowance
+            self.taken_over, self.best = False, min(self.best, RECALL_MOST * good)
+            if min(self.level) < 1:
+                self.allow = sum(level * rate for level, rate in zip(self.level, rates, strict=True))
+        self.best = max(good, self.best * BEST_KEPT)
         if late > SHED_LATENCY:
             if self.now - self.cut_at > CUT_HOLD:
                 cut, self.cut_at = max(CUT_LEAST, 1 - CUT_DEPTH * late), self.now
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -63,6 +63,7 @@
     """Run a pilot in the foreground; `parts` go to Pilot as they are."""
     from damsonpick.daemon.logs import configure
     from damsonpick.daemon.pilot import Pilot
+    from damsonpick.knowledge.disk import LockError
     from damsonpick.store.sqlite import StoreError
     from damsonpick.wire import portfile
 
@@ -78,7 +79,7 @@
 
     try:
         anyio.run(life)
-    except StoreError as error:
+    except (StoreError, LockError) as error:
         click.echo(str(error), err=True)
         sys.exit(WRONG)
     except (RuntimeError, OSError) as error:
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -15,10 +15,12 @@
 from damsonpick.choice import Planner
 from damsonpick.daemon import control
 from damsonpick.daemon.questions import Questions
+from damsonpick.daemon.remembering import Remembering
 from damsonpick.daemon.solving import Solving
 from damsonpick.engine.clock import Clock
 from damsonpick.engine.core import Engine
 from damsonpick.evidence.sums import Evidence, GatewaySums
+from damsonpick.knowledge.disk import FolderLock
 from damsonpick.roster.judge import Roster
 from damsonpick.roster.listfile import FileSource, ListError
 from damsonpick.roster.redial import Redial
@@ -57,6 +59,8 @@
         self.log = log
         self.clock = Clock(s.pilot.clock_rate)
         count = s.table_count()
+        self.lock = FolderLock(s.pilot.state)
+        self.remembering = Remembering(s, self.clock, log)
         self.store = Store(s.store_path(), count)
         self.epoch = self.store.epoch()
         self.published = Published(tuple(s.classes), count)
@@ -89,7 +93,8 @@
     @asynccontextmanager
     async def running(self) -> AsyncIterator[TaskGroup]:
         """The pilot serves while the block runs, and ends in order after it."""
-        self.engine.start(self.clock.now())
+        learned, away = self.remembering.read() if self.settings.knowledge.keep else (None, None)
+        self.engine.start(self.clock.now(), learned, away)
         self.evidence.known = set(self.roster.entries)
         s = self.settings
         server, self.port = await self.xds.start(self.settings.listen.xds, self.settings.listen.largest_request)
@@ -102,6 +107,8 @@
                 group.start_soon(self._reports)
                 group.start_soon(self._custody)
                 group.start_soon(self._drive)
+                if s.knowledge.keep:
+                    group.start_soon(self.remembering.run, self.engine)
                 if s.solved:
                     group.start_soon(self.solving.run)
                 yield group
@@ -109,8 +116,11 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await server.stop(0.2)
+                if s.knowledge.keep:
+                    await self.remembering.once(self.engine)
             self.store.close()
             self.history.close()
+            self.lock.release()
             self.log.info("pilot_ended", name=self.settings.pilot.name)
 
     async def _control(self, *, task_status: Any) -> None:
--- /dev/null
+++ b/damsonpick/daemon/remembering.py
@@ -0,0 +1,89 @@
+"""Keeps what the pilot learns: a snapshot every so often and at the end. Files are written in a worker thread."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import anyio
+import anyio.to_thread
+
+from damsonpick.engine.clock import Clock
+from damsonpick.engine.core import Engine
+from damsonpick.knowledge import ageing, codec, generations, recall
+from damsonpick.knowledge.disk import OsDisk, moment
+from damsonpick.knowledge.model import Snapshot
+from damsonpick.settings.model import PilotSettings
+
+
+class Remembering:
+    """Args: settings, clock; log: a structlog logger; disk: where files go."""
+
+    def __init__(self, settings: PilotSettings, clock: Clock, log: Any, disk: generations.Disk | None = None) -> None:
+        self.settings, self.clock, self.log, self.disk = settings, clock, log, disk or OsDisk()
+        self.folder = settings.knowledge_path()
+        self.found = generations.Found(None, "", (), False)
+        self.age = ageing.Age(0, "")
+        self.sequence = 0
+        self.failing = False
+        self.written: dict[str, Any] = {"sequence": 0, "bytes": 0, "stall_ms": 0.0, "error": ""}
+
+    # -- at the start
+
+    def read(self) -> tuple[Snapshot | None, int | None]:
+        """The aged snapshot, and how long ago (ns of the pilot's clock) the last life was seen; None: not known."""
+        self.found = generations.load(self.disk, self.folder)
+        for wrong in self.found.wrong:
+            self.log.error("knowledge_refused", what=wrong, remedy="the other generation, or nothing, is used")
+        snapshot = self.found.snapshot
+        if snapshot is None:
+            return None, None
+        self.sequence = snapshot.sequence
+        self.age = ageing.age(snapshot.at, moment())
+        if self.age.doubt:
+            self.log.warning("knowledge_age_doubted", why=self.age.doubt)
+        ns = int(self.age.ns * self.clock.rate)
+        return ageing.fade(snapshot, ns), ns
+
+    # -- while the pilot runs
+
+    async def run(self, engine: Engine) -> None:
+        """For ever; a folder that cannot be written is said once, and tried again each time."""
+        if self.found.newer:
+            return
+        while True:
+            await anyio.sleep(self.clock.seconds(self.settings.knowledge.every))
+            await self.once(engine)
+
+    async def once(self, engine: Engine) -> None:
+        """One snapshot. The planner is read in steps between which the loop runs on; the rest is a thread's."""
+        planner = engine.planner
+        if planner is None or self.found.newer:
+            return
+        capture = recall.Capture(planner, self.sequence + 1, self.settings.pilot.name, moment())
+        longest, start = 0.0, time.perf_counter()
+        for _ in capture.steps():
+            longest = max(longest, time.perf_counter() - start)
+            await anyio.lowlevel.checkpoint()
+            start = time.perf_counter()
+        snapshot = capture.snapshot()
+        longest = max(longest, time.perf_counter() - start)
+        try:
+            size = await anyio.to_thread.run_sync(self._write, snapshot)
+        except OSError as error:
+            if not self.failing:
+                self.log.error("knowledge_not_written", error=str(error),
+                               remedy="free space or rights on the state folder; the pilot goes on without")
+            self.failing, self.written["error"] = True, str(error)
+            return
+        if self.failing:
+            self.log.info("knowledge_written_again")
+        self.failing = False
+        self.sequence += 1
+        self.written = {"sequence": self.sequence, "bytes": size, "stall_ms": round(longest * 1e3, 3), "error": ""}
+
+    def _write(self, snapshot: Snapshot) -> int:
+        data = codec.encode(snapshot)
+        generations.save(self.disk, self.folder, data, rotate=self.found.which == generations.CURRENT)
+        self.found = generations.Found(None, generations.CURRENT, (), False)
+        return len(data)
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -15,6 +15,8 @@
 from damsonpick.choice import Planner
 from damsonpick.engine import explain
 from damsonpick.engine.clock import Steady
+from damsonpick.knowledge import ageing, recall
+from damsonpick.knowledge.model import Fleet, Moment, Snapshot
 from damsonpick.roster.judge import Roster
 from damsonpick.settings.model import PilotSettings
 from damsonpick.store.sqlite import Store
@@ -29,6 +31,7 @@
 RESTART_FIRST, RESTART_MOST = SECOND // 10, 9 * SECOND // 10  # ns before another planner is tried
 CALM = 30 * SECOND  # ns without a failure after which the next counts as the first
 LOGGED_EVENTS = 200  # of a failed call
+NOTHING_LEARNED = Fleet(0.0, 0.0)
 
 
 class Engine:
@@ -62,15 +65,24 @@
         self.levels: tuple[float, ...] = ()
         self.pinned = self.list_changed = False
         self.gone: dict[int, dict[str, float]] = {}  # lines that a rollback took out; gateways may hold them yet
+        self.salvaged: Snapshot | None = None  # what a planner that failed had learned
+        self.stood: dict[str, float] = {}  # standing orders as the store holds them
         self.withheld = 0  # orders of the last step that the pin held back
 
     # -- life
 
-    def start(self, now: int) -> None:
-        """Take what the store holds and start the module on it."""
+    def start(self, now: int, learned: Snapshot | None = None, away: int | None = None) -> None:
+        """Take what the store holds and start the module on it.
+
+        Args:
+            learned: what an earlier life learned, aged.
+            away: ns since that life was last seen; None: not known.
+        """
         now = self.clock.take(now)
         for number, lines in self.store.tables().items():
             self.published.restore(number, lines)
+        self.published.restore_standing(self.store.standing(), ageing.levels_hold(away))
+        self.stood = self.published.standing()
         self.roster.restore(self.store.listed())
         self.hub.catalogue.refresh(self.published.units())
         if self.keeper:
@@ -78,13 +90,13 @@
             if self.holds(now):
                 self._recall_gone()
         self.owned = {charge.slice for charge in self.store.claim(self.owner, now, self.lease())}
-        self._begin(now)
+        self._begin(now, learned=learned)
 
     def lease(self) -> int:
         """ns for which a slice stays ours unrenewed: longer than a restart takes, so nobody else need move it."""
         return 10 * SECOND
 
-    def _begin(self, now: int, anew: bool = False) -> None:
+    def _begin(self, now: int, anew: bool = False, learned: Snapshot | None = None) -> None:
         """A new planner, told the list, the tables and who is joined. `anew`: in place of one that was at work."""
         again = anew or bool(self.failures)
         seed = self.settings.pilot.seed * 1000 + self.failures
@@ -99,11 +111,33 @@
             # what a rollback took out is told as well: if such a server drains now, it must be withdrawn
             lines = {**self.gone.get(number, {}), **self.published.tables[number]}
             events += [api.StoredLine(number, name, weight) for name, weight in lines.items()]
+        events += self._recalled(learned)
         if again:  # they hold withdrawals of the planner that failed
             events += [api.ProxyJoined(m.number, m.session.zone, 0.0, False) for m in self.hub.members.values()]
         self.hub.events = [e for e in self.hub.events if not isinstance(e, api.Applied)] if not again else []
         self.inbox = events
 
+    def _recalled(self, learned: Snapshot | None) -> list[api.Event]:
+        """What an earlier planner learned, and the orders of it that are in force."""
+        classes = self.published.classes
+        events: list[api.Event] = []
+        if learned is not None:
+            wrong = recall.fits(learned, classes, self.published.slices)
+            events, anew = recall.events(learned, self.roster.entries, self.owned, not wrong)
+            self.log.info("recalled", servers=sum(isinstance(e, api.EndpointRecalled) for e in events),
+                          started_anew=len(anew), left_out=wrong)
+        levels = tuple(self.published.level(None, k) for k in range(len(classes)))
+        fleet = learned.fleet if learned is not None else NOTHING_LEARNED
+        if learned is not None or self.published.withdrawn or min(levels) < 1:
+            events.append(api.FleetRecalled(levels, tuple(self.published.withdrawn), fleet.best, fleet.pace))
+        return events
+
+    def learned(self) -> Snapshot | None:
+        """What the planner at work has learned, to hand it to the next one."""
+        if not isinstance(self.planner, Planner):
+            return None
+        return recall.take(self.planner, 0, self.owner, Moment(0, "", 0))
+
     def tell(self, *events: api.Event) -> None:
         """Events for the next step, in order."""
         self.inbox.extend(events)
@@ -153,7 +187,7 @@
         if self.planner is None:
             if now < self.restart_at:
                 return []
-            self._begin(now)
+            self._begin(now, learned=self.salvaged)
         if self.pinned != self.holds(now):
             self._repin(now)
         if self.list_changed:
@@ -177,6 +211,8 @@
         self.failures = self.failures + 1 if now - self.failed_at < CALM else 1
         self.failed_at = now
         wait = 0 if self.failures == 1 else min(RESTART_MOST, RESTART_FIRST * 2 ** min(self.failures, 8))
+        # what it learned may be what it failed of: it is handed on once, and not after a second failure
+        self.salvaged = self.learned() if self.failures == 1 else None
         self.planner, self.restart_at = None, now + wait
         self.log.error("module_failed", error=repr(error), restart_in_ms=wait // 1_000_000, failures=self.failures,
                        tables="the last ones stay in service", exc_info=error,
@@ -237,7 +273,7 @@
             self.gone.clear()
         self.log.info("pinned" if self.pinned else "unpinned", version=self.keeper.pin.version,
                       withheld=self.withheld)
-        self._begin(now, anew=True)
+        self._begin(now, anew=True, learned=self.learned())
 
     def barred(self, name: str) -> bool:
         """Whether an endpoint may not be picked now."""
@@ -291,10 +327,12 @@
     def _save(self, now: int, tables: dict[int, dict[str, float]]) -> None:
         """The store before the wire. One that cannot be written is said loudly; service goes on from memory."""
         both = {n: self.published.tables[n] for n in self.unsaved} | tables
-        if not both:
+        standing = self.published.standing()
+        if not both and standing == self.stood:
             return
         try:
-            self.store.write(both)
+            self.store.write(both, standing if standing != self.stood else None)
+            self.stood = standing
             if self.unsaved:
                 self.log.info("store_caught_up", slices=len(both))
             self.unsaved.clear()
--- a/damsonpick/interface.py
+++ b/damsonpick/interface.py
@@ -156,6 +156,42 @@
     rate: float
 
 
+class EndpointRecalled(NamedTuple):
+    """What an earlier life learned of the process that started then, aged. Speed is against the fleet's; 1: usual."""
+
+    endpoint: str
+    started: int
+    speed: float
+
+
+class SliceRecalled(NamedTuple):
+    """What an earlier life learned of a slice, aged: requests a second by class, warmth by endpoint (0 to 1)."""
+
+    slice: int
+    rates: tuple[float, ...]
+    warmth: tuple[tuple[str, float], ...]
+
+
+class FleetRecalled(NamedTuple):
+    """Orders of an earlier life that are in force, and its aged pace.
+
+    `levels` by class and `shut` (withdrawn endpoints) are what proxies hold; `best` answers a second were seen, `pace`
+    of them for each unit of capacity. 0: not known.
+    """
+
+    levels: tuple[float, ...]
+    shut: tuple[str, ...]
+    best: float
+    pace: float
+
+
+class EndpointTrusted(NamedTuple):
+    """How far a list that may be old is believed in naming an endpoint: 1 as listed, 0 only if no other is left."""
+
+    endpoint: str
+    trust: float
+
+
 class Applied(NamedTuple):
     """A proxy has applied the message that carried this mark."""
 
@@ -166,7 +202,8 @@
 
 Event = (
     ListChanged | TimerFired | ProbeResult | PeerMessage | ProxyJoined | ProxyLeft | EndpointReport
-    | ProxyDemand | SliceDemand | CustodyChanged | StoredLine | TableAdvised | LoadAdvised | Applied
+    | ProxyDemand | SliceDemand | CustodyChanged | StoredLine | TableAdvised | LoadAdvised | EndpointRecalled
+    | SliceRecalled | FleetRecalled | EndpointTrusted | Applied
 )
 
 # ---- actions ------------------------------------------------------------------------------------
--- /dev/null
+++ b/damsonpick/knowledge/recall.py
@@ -0,0 +1,90 @@
+"""From a planner to a snapshot, and from a snapshot to events for another planner. Sans I/O.
+
+The planner is read, never written. What is handed over is only what the new planner can check against the list: of a
+server whose process started anew nothing is told.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+
+from damsonpick import interface as api
+from damsonpick.choice import Planner
+from damsonpick.knowledge.model import Fleet, Moment, Piece, Server, Snapshot
+
+CHUNK = 200  # slices looked at in one go
+LEAST_SPEED, MOST_SPEED = 0.01, 100.0
+LEAST_WARMTH = 0.02
+
+
+class Capture:
+    """A snapshot made in small steps, so that the loop is never held up for long.
+
+    Args:
+        planner: what is read; it may go on between the steps.
+        sequence, pilot, at: of the snapshot.
+    """
+
+    def __init__(self, planner: Planner, sequence: int, pilot: str, at: Moment) -> None:
+        self.planner, self.sequence, self.pilot, self.at = planner, sequence, pilot, at
+        self.servers: list[Server] = []
+        self.pieces: list[Piece] = []
+
+    def steps(self) -> Iterator[None]:
+        """Each step looks at some servers or slices."""
+        planner = self.planner
+        for name, ep in list(planner.endpoints.items()):
+            if ep.heard or ep.recalled:  # the rest is as the ignorant assume
+                self.servers.append(Server(name, ep.started, min(MOST_SPEED, max(LEAST_SPEED, ep.speed))))
+        yield
+        for k, piece in enumerate(list(planner.slices.values())):
+            warmth = tuple((n, min(1.0, w)) for n, w in piece.warmth.items() if w > LEAST_WARMTH)
+            self.pieces.append(Piece(piece.number, tuple(max(0.0, r) for r in piece.rates), warmth))
+            if k % CHUNK == CHUNK - 1:
+                yield
+
+    def snapshot(self) -> Snapshot:
+        planner = self.planner
+        return Snapshot(self.sequence, self.pilot, self.at, tuple(c.name for c in planner.settings.classes),
+                        planner.settings.slices, tuple(self.servers), tuple(self.pieces),
+                        Fleet(max(0.0, planner.best), max(0.0, planner.pace)))
+
+
+def take(planner: Planner, sequence: int, pilot: str, at: Moment) -> Snapshot:
+    """A snapshot in one go."""
+    made = Capture(planner, sequence, pilot, at)
+    for _ in made.steps():
+        pass
+    return made.snapshot()
+
+
+def fits(snapshot: Snapshot, classes: tuple[str, ...], slices: int) -> str:
+    """Why a snapshot does not belong to these settings; '': it does. Speeds belong to servers, not to settings."""
+    if snapshot.slices != slices:
+        return f"it knows {snapshot.slices} slices, there are {slices}"
+    if snapshot.classes != classes:
+        return f"it knows the classes {', '.join(snapshot.classes)}, there are {', '.join(classes)}"
+    return ""
+
+
+def events(snapshot: Snapshot, listed: Mapping[str, api.ListEntry], owned: Iterable[int],
+           whole: bool = True) -> tuple[list[api.Event], list[str]]:
+    """What a planner is told of an aged snapshot, and the servers that nothing is told of as they started anew.
+
+    Args:
+        whole: slices and classes are still the same; else speeds alone are told.
+    """
+    found: list[api.Event] = []
+    anew: list[str] = []
+    for server in snapshot.servers:
+        entry = listed.get(server.endpoint)
+        if entry is None:
+            continue
+        if entry.started != server.started:
+            anew.append(server.endpoint)
+            continue
+        found.append(api.EndpointRecalled(server.endpoint, server.started, server.speed))
+    if whole:
+        mine = set(owned)
+        found += [api.SliceRecalled(p.number, p.rates, p.warmth) for p in snapshot.pieces if p.number in mine]
+    return found, anew
--- a/damsonpick/settings/load.py
+++ b/damsonpick/settings/load.py
@@ -10,7 +10,8 @@
 
 from damsonpick.settings import model
 
-SECTIONS = ("pilot", "listen", "tables", "rules", "channel", "reports", "list", "solver", "versions", "log")
+SECTIONS = ("pilot", "listen", "tables", "rules", "channel", "reports", "list", "solver", "versions",
+            "knowledge", "log")
 
 
 class Problem(NamedTuple):
--- a/damsonpick/settings/model.py
+++ b/damsonpick/settings/model.py
@@ -110,6 +110,13 @@
     stop: float = Field(0.5, gt=0, le=1)  # share of gateways that refuse a resource, from which it goes to no other
 
 
+class Knowledge(Section):
+    """[knowledge]: what is kept of what the pilot learns."""
+
+    keep: bool = True
+    every: Duration = 2_000_000_000  # between snapshots
+
+
 class Logs(Section):
     """[log]: structured logs on standard error."""
 
@@ -142,6 +149,7 @@
     list: ListSource
     solver: Solver = Solver()
     versions: Versions = Versions()
+    knowledge: Knowledge = Knowledge()
     log: Logs = Logs()
     classes: dict[str, RequestClass]
 
@@ -160,6 +168,9 @@
     def history_path(self) -> Path:
         return self.pilot.state / "versions.db"
 
+    def knowledge_path(self) -> Path:
+        return self.pilot.state / "knowledge"
+
     def control_path(self) -> Path:
         return self.pilot.state / "control.sock"
 
--- a/damsonpick/store/sqlite.py
+++ b/damsonpick/store/sqlite.py
@@ -21,6 +21,7 @@
     until INTEGER NOT NULL DEFAULT 0, term INTEGER NOT NULL DEFAULT 0);
 CREATE TABLE IF NOT EXISTS lines (slice INTEGER NOT NULL, endpoint TEXT NOT NULL, weight REAL NOT NULL,
     PRIMARY KEY (slice, endpoint)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS standing (key TEXT PRIMARY KEY, value REAL NOT NULL) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS gateways (number INTEGER PRIMARY KEY, node TEXT NOT NULL UNIQUE);
 CREATE TABLE IF NOT EXISTS listed (endpoint TEXT PRIMARY KEY, zone TEXT NOT NULL, state TEXT NOT NULL,
     weight REAL NOT NULL, started INTEGER NOT NULL) WITHOUT ROWID;
@@ -81,13 +82,20 @@
             result[number][endpoint] = weight
         return result
 
-    def write(self, tables: Mapping[int, Mapping[str, float]]) -> None:
-        """Replace the lines of some slices, all in one transaction."""
+    def standing(self) -> dict[str, float]:
+        """Withdrawals, levels and retry modes (see Published.standing)."""
+        return dict(self.db.execute("SELECT key, value FROM standing"))
+
+    def write(self, tables: Mapping[int, Mapping[str, float]], standing: Mapping[str, float] | None = None) -> None:
+        """Replace the lines of some slices and, if given, all standing orders, in one transaction."""
         with self.transaction():
             for number, lines in tables.items():
                 self.db.execute("DELETE FROM lines WHERE slice = ?", (number,))
                 self.db.executemany("INSERT INTO lines VALUES (?, ?, ?)",
                                     [(number, name, weight) for name, weight in lines.items()])
+            if standing is not None:
+                self.db.execute("DELETE FROM standing")
+                self.db.executemany("INSERT INTO standing VALUES (?, ?)", list(standing.items()))
 
     # -- custody (see custody.Custody)
 
--- a/damsonpick/tables/published.py
+++ b/damsonpick/tables/published.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from damsonpick import interface as api
@@ -15,6 +15,10 @@
 FLEET, ROUTES = "fleet", "routes"
 
 
+def _place(table: int | None) -> str:
+    return "-" if table is None else str(table)
+
+
 def slice_unit(number: int) -> str:
     return f"slice/{number}"
 
@@ -53,6 +57,28 @@
         """A table as the store holds it, before anything is published."""
         self.tables[number] = dict(lines)
 
+    def standing(self) -> dict[str, float]:
+        """Withdrawals, levels and retry modes as keys and figures: what a restart must find as it was."""
+        found = {f"out {name}": 1.0 for name in self.withdrawn}
+        found |= {f"level {_place(t)} {k}": v for (t, k), v in self.levels.items() if v != 1.0}
+        return found | {f"retry {_place(t)} {k}": float(v) for (t, k), v in self.retries.items() if v}
+
+    def restore_standing(self, kept: Mapping[str, float], levels: bool) -> None:
+        """Orders of an earlier life, as `standing` gave them. `levels`: those too."""
+        for key, value in kept.items():
+            what, _, rest = key.partition(" ")
+            if what == "out":
+                self.withdrawn[rest] = 0
+                continue
+            table, _, k = rest.partition(" ")
+            place = None if table == "-" else int(table)
+            if not 0 <= int(k) < len(self.classes) or (place is not None and place not in self.tables):
+                continue
+            if what == "retry":
+                self.retries[place, int(k)] = int(value)
+            elif levels:
+                self.levels[place, int(k)] = value
+
     def level(self, table: int | None, k: int) -> float:
         """Share of class k let in: the lower of the fleet's and, for a slice, its own."""
         low = self.levels.get((None, k), 1.0)
--- /dev/null
+++ b/tests/test_knowledge.py
@@ -0,0 +1,347 @@
+"""What a pilot may believe of the past: format, damage, cuts in the middle of writing, ages, what is told."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damsonpick import interface as api
+from damsonpick.knowledge import ageing, codec, generations, recall
+from damsonpick.knowledge.model import FORMAT, Fleet, Moment, Piece, Server, Snapshot
+from tests.helpers import SECOND, World, entry
+
+FIXTURES = Path(__file__).parent / "fixtures"
+FOLDER = Path("/state")
+
+
+def snapshot(sequence=5, **more):
+    made = Snapshot(sequence, "pilot-0", Moment(10**18, "boot", 10**12), ("cheap", "dear"), 12,
+                    (Server("p", 0, 0.5), Server("q", 7, 1.25)),
+                    (Piece(0, (3.0, 4.5), (("p", 1.0), ("q", 0.25))), Piece(11, (0.0, 0.125), ())), Fleet(120.0, 9.5))
+    return msgspec.structs.replace(made, **more)
+
+
+names = st.text(min_size=1, max_size=20)
+parts = st.floats(0, 1)
+snapshots = st.builds(
+    Snapshot, st.integers(0, 2**62), names, st.builds(Moment, st.integers(0, 2**62), names, st.integers(0, 2**62)),
+    st.just(("a", "b")), st.just(50),
+    st.lists(st.builds(Server, names, st.integers(0, 2**62), st.floats(0.01, 100)), max_size=9).map(tuple),
+    st.lists(st.builds(Piece, st.integers(0, 49), st.tuples(st.floats(0, 1e9), st.floats(0, 1e9)),
+                       st.lists(st.tuples(names, parts), max_size=3).map(tuple)), max_size=9).map(tuple),
+    st.builds(Fleet, st.floats(0, 1e9), st.floats(0, 1e9)))
+
+
+@given(snapshots)
+def test_what_is_written_is_read(made):
+    assert codec.decode(codec.encode(made)) == made
+
+
+@given(st.binary(max_size=200))
+def test_what_was_never_written_is_refused(data):
+    with pytest.raises(codec.Damaged):
+        codec.decode(data)
+
+
+def test_a_bit_flipped_in_a_thousand_places_is_never_believed():
+    data = codec.encode(snapshot())
+    rng = random.Random(4)
+    places = list(range(len(data) * 8))
+    for bit in places if len(places) < 1000 else rng.sample(places, max(1000, len(places) // 2)):
+        flipped = bytearray(data)
+        flipped[bit // 8] ^= 1 << bit % 8
+        with pytest.raises((codec.Damaged, codec.Newer)) as caught:
+            codec.decode(bytes(flipped))
+        assert caught.type is codec.Damaged, f"bit {bit}: a damaged file is not taken for a newer one"
+
+
+@pytest.mark.parametrize("change", [
+    {"servers": (Server("p", 0, float("nan")),)}, {"servers": (Server("p", 0, 1e9),)},
+    {"servers": (Server("", 0, 1.0),)}, {"pieces": (Piece(0, (float("inf"), 0.0), ()),)},
+    {"pieces": (Piece(0, (1.0,), ()),)}, {"pieces": (Piece(99, (1.0, 1.0), ()),)},
+    {"pieces": (Piece(0, (1.0, 1.0), (("p", 1.5),)),)}, {"fleet": Fleet(-1.0, 0.0)}])
+def test_a_whole_file_with_impossible_figures_is_refused(change):
+    with pytest.raises(codec.Damaged):
+        codec.decode(codec.encode(snapshot(**change)))
+
+
+def _as_format(data, form):
+    head = codec.HEAD.pack(codec.MAGIC, form, 0, len(data) - codec.HEAD.size - codec.SUM)
+    import xxhash
+
+    body = data[codec.HEAD.size + codec.SUM:]
+    return head + xxhash.xxh3_128_digest(head + body) + body
+
+
+def test_a_newer_file_is_refused_and_a_format_never_written_too():
+    data = codec.encode(snapshot())
+    with pytest.raises(codec.Newer, match=f"format {FORMAT + 1}"):
+        codec.decode(_as_format(data, FORMAT + 1))
+    with pytest.raises(codec.Damaged, match="never written"):
+        codec.decode(_as_format(data, 0))
+
+
+@pytest.mark.parametrize("form", range(1, FORMAT + 1))
+def test_files_of_every_format_ever_written_are_read(form):
+    found = codec.decode((FIXTURES / f"knowledge-{form}").read_bytes())
+    assert found.servers == (Server("127.0.0.1:9001", 0, 0.5), Server("127.0.0.1:9002", 7, 1.25))
+    assert found.pieces[0].rates == (3.0, 4.5) and found.fleet == Fleet(120.0, 9.5)
+
+
+# -- cuts
+
+class Cut(Exception):
+    pass
+
+
+class CutDisk:
+    """A disk that stops after some operations; what was not synced is then lost, torn, or there after all."""
+
+    def __init__(self, files, stop, part=None):
+        self.data = {k: v for k, v in enumerate(files.values())}  # synced, by inode
+        self.dirty = {}
+        self.names = dict(zip(files, self.data, strict=True))  # as the running system sees them
+        self.durable = dict(self.names)
+        self.pending = []  # changes of names since the folder was synced
+        self.stop, self.part, self.count = stop, part, 0
+
+    def _step(self):
+        self.count += 1
+        if self.count > self.stop:
+            raise Cut
+
+    def read(self, path):
+        if path.name not in self.names:
+            raise FileNotFoundError(path)
+        inode = self.names[path.name]
+        return self.dirty.get(inode, self.data.get(inode, b""))
+
+    def write(self, path, data):
+        inode = max(self.data, default=0) + 1
+        self._step()
+        self.data[inode] = b""
+        self.names[path.name] = inode
+        self.pending.append(("make", path.name, inode))
+        if self.count == self.stop and self.part is not None:
+            self.dirty[inode] = data[:self.part]
+            raise Cut
+        self.dirty[inode] = data
+
+    def sync(self, path):
+        self._step()
+        inode = self.names[path.name]
+        self.data[inode] = self.dirty.pop(inode, self.data[inode])
+
+    def rename(self, old, new):
+        self._step()
+        if old.name not in self.names:
+            raise FileNotFoundError(old)
+        self.names[new.name] = self.names.pop(old.name)
+        self.pending.append(("move", old.name, new.name))
+
+    def sync_folder(self, path):
+        self._step()
+        self.durable, self.pending = dict(self.names), []
+
+    def after(self, kept, torn):
+        """Files after a cut: which pending changes of names made it, and how many bytes of what was not synced."""
+        names = dict(self.durable)
+        for k in kept:
+            kind, one, other = self.pending[k]
+            if kind == "make":
+                names[one] = other
+            elif one in names:
+                names[other] = names.pop(one)
+        found = {}
+        for name, inode in names.items():
+            data = self.dirty.get(inode)
+            found[name] = self.data.get(inode, b"") if data is None else data[:torn]
+        return found
+
+
+def _generations():
+    return {generations.CURRENT: codec.encode(snapshot(5)), generations.PREVIOUS: codec.encode(snapshot(4))}
+
+
+@pytest.mark.parametrize("damaged", [False, True])
+def test_power_cut_at_every_operation_and_every_byte_leaves_the_old_or_the_new(damaged):
+    """With `current` damaged before, `previous` is all there is until the new one stands."""
+    new = codec.encode(snapshot(6))
+    before = _generations()
+    if damaged:
+        before[generations.CURRENT] = before[generations.CURRENT][:-1]
+    old = 4 if damaged else 5
+    seen, cases = set(), 0
+    for stop, part in [(k, None) for k in range(7)] + [(1, n) for n in range(len(new))]:
+        disk = CutDisk(before, stop, part)
+        rotate = generations.load(disk, FOLDER).which == generations.CURRENT
+        try:
+            generations.save(disk, FOLDER, new, rotate)
+            done = True
+        except Cut:
+            done = False
+        changes = range(len(disk.pending))
+        for count in range(len(disk.pending) + 1):
+            for kept in itertools.combinations(changes, count):
+                for torn in (0, 1, len(new) // 2, len(new) - 1, len(new)):
+                    files = disk.after(kept, torn)
+                    found = generations.load(CutDisk(files, 99), FOLDER).snapshot
+                    assert found is not None and found.sequence in (old, 6), (stop, part, kept, torn)
+                    assert not done or found.sequence == 6, "what was said to be written is there"
+                    seen.add(found.sequence)
+                    cases += 1
+    assert seen == {old, 6} and cases > 1000
+
+
+def test_the_first_one_cut_leaves_nothing_or_the_new():
+    new = codec.encode(snapshot(1))
+    for stop in range(5):
+        disk = CutDisk({}, stop)
+        with contextlib.suppress(Cut):
+            generations.save(disk, FOLDER, new, False)
+        for count in range(len(disk.pending) + 1):
+            found = generations.load(CutDisk(disk.after(range(count), len(new) // 2), 99), FOLDER)
+            assert found.snapshot is None or found.snapshot.sequence == 1
+
+
+def test_a_newer_file_stops_all_writing_and_a_damaged_one_gives_way_to_the_previous():
+    files = _generations()
+    files[generations.CURRENT] = _as_format(files[generations.CURRENT], FORMAT + 1)
+    found = generations.load(CutDisk(files, 99), FOLDER)
+    assert found.newer and found.snapshot.sequence == 4 and "left alone" in found.wrong[0]
+    files[generations.CURRENT] = b"torn"
+    found = generations.load(CutDisk(files, 99), FOLDER)
+    assert not found.newer and found.which == generations.PREVIOUS and "fewer than a head" in found.wrong[0]
+
+
+# -- ages
+
+NOW = Moment(10**18, "boot", 10**13)
+HOUR = 3600 * SECOND
+
+
+@pytest.mark.parametrize(("then", "ns", "doubt"), [
+    (Moment(10**18 - HOUR, "boot", 10**13 - HOUR), HOUR, ""),
+    (Moment(10**18 + 5 * HOUR, "boot", 10**13 - SECOND), SECOND, "wall clock was set by -18001 s"),
+    (Moment(10**18 - 9 * HOUR, "boot", 10**13 - SECOND), SECOND, "wall clock was set by +32399 s"),
+    (Moment(10**18 - HOUR, "other", 10**13), HOUR, ""),
+    (Moment(10**18 + HOUR, "other", 5), ageing.UNKNOWN, "in the future"),
+    (Moment(10**18 + SECOND, "other", 5), 0, ""),
+    (Moment(10**18 - HOUR, "", 0), HOUR, "")])
+def test_age_survives_a_clock_that_was_set_and_a_machine_that_was_started_anew(then, ns, doubt):
+    found = ageing.age(then, NOW)
+    assert found.ns == ns and doubt in found.doubt and bool(doubt) == bool(found.doubt)
+
+
+def test_each_figure_fades_by_its_own_half_life_toward_ignorance():
+    made = snapshot()
+    assert ageing.fade(made, 0) == made
+    minute = ageing.fade(made, 60 * SECOND)
+    assert minute.pieces[0].rates == (1.5, 2.25) and minute.fleet.best == 60.0
+    assert 0.5 < minute.servers[0].speed < 0.6 and 1.1 < minute.servers[1].speed < 1.25
+    assert minute.pieces[0].warmth == (("p", 0.5**4),)
+    day = ageing.fade(made, 24 * HOUR)
+    assert not day.pieces and day.fleet == Fleet(0.0, 0.0) and all(abs(s.speed - 1) < 1e-9 for s in day.servers)
+    assert ageing.levels_hold(SECOND) and not ageing.levels_hold(HOUR) and not ageing.levels_hold(None)
+
+
+# -- what is told
+
+def taught():
+    """A world that has learned: p is slow, its slices hot."""
+    world = World("pqrs", slices=12)
+    world.run(20, latency={"p": 800})
+    return world
+
+
+def test_a_new_planner_is_told_what_the_old_one_learned():
+    old = taught()
+    kept = recall.take(old.planner, 1, "pilot-0", NOW)
+    assert recall.take(old.planner, 1, "pilot-0", NOW) == codec.decode(codec.encode(kept))
+    new = World("pqrs", slices=12)
+    told, anew = recall.events(kept, {n: entry(n) for n in "pqrs"}, range(12))
+    assert not anew
+    new.tell(*told)
+    for name in "pqrs":
+        assert new.planner.endpoints[name].speed == old.planner.endpoints[name].speed
+    assert new.planner.endpoints["p"].speed < 0.5
+    assert all(new.planner.slices[n].rates == old.planner.slices[n].rates for n in range(12))
+
+
+def test_nothing_is_told_of_a_server_replaced_under_the_same_name():
+    kept = recall.take(taught().planner, 1, "pilot-0", NOW)
+    told, anew = recall.events(kept, {"p": entry("p", started=9), "q": entry("q")}, range(12))
+    assert anew == ["p"] and [e.endpoint for e in told if isinstance(e, api.EndpointRecalled)] == ["q"]
+
+
+def test_hearsay_of_a_server_that_turns_out_to_be_new_is_dropped():
+    world = World("pqrs", slices=12)
+    world.tell(api.EndpointRecalled("p", 0, 0.2))
+    assert world.planner.endpoints["p"].speed == 0.2
+    world.tell(api.ListChanged("replace", tuple(entry(n, started=5 if n == "p" else 0) for n in "pqrs")))
+    assert world.planner.endpoints["p"].speed == 1.0
+
+
+def test_wrong_speeds_are_put_right_within_seconds():
+    world = World("pqrs", slices=12)
+    world.tell(api.EndpointRecalled("p", 0, 0.1), api.EndpointRecalled("q", 0, 2.0))
+    world.run(10)
+    speeds = {n: world.planner.endpoints[n].speed for n in "pqrs"}
+    assert speeds["p"] > 0.6 and speeds["q"] < 1.3, speeds
+
+
+def test_other_slices_or_classes_leave_speeds_alone_to_be_told():
+    kept = snapshot()
+    assert "12 slices" in recall.fits(kept, ("cheap", "dear"), 13) and "classes" in recall.fits(kept, ("cheap",), 12)
+    assert not recall.fits(kept, ("cheap", "dear"), 12)
+    told, _ = recall.events(kept, {"p": entry("p")}, range(12), whole=False)
+    assert told == [api.EndpointRecalled("p", 0, 0.5)]
+
+
+def test_levels_of_an_earlier_life_hold_until_reports_come_and_then_are_weighed():
+    world = World("pqrs", slices=12, proxies=0)
+    world.tell(api.FleetRecalled((0.5, 0.6), ("s",), 240.0, 2.0))
+    world.proxies = [0, 1]
+    world.tell(api.ProxyJoined(0, "a", 5.0, False), api.ProxyJoined(1, "a", 5.0, False))
+    assert world.planner.wanted == (0.5, 0.6) and world.planner.allow > 1e9
+    assert world.levels[None, 0] == 0.5 and world.levels[None, 1] == 0.6, "greeted with what is in force"
+    world.run(1, latency=dict.fromkeys("pqrs", 700))
+    assert world.planner.allow < 0.62 * 240, "what the levels let in is the first allowance"
+    world.run(40, latency=dict.fromkeys("pqrs", 50))
+    assert world.planner.wanted == (1.0, 1.0), "and it grows back"
+
+
+def test_a_withdrawal_of_an_earlier_life_is_lifted_once_the_list_lets_it_in():
+    world = World("pqrs", slices=12)
+    world.planner.shut.clear()
+    world.tell(api.FleetRecalled((1.0, 1.0), ("s", "ghost"), 0.0, 0.0))
+    world.run(2)
+    assert world.shut.get("s") is False and world.shut.get("ghost") is None
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.randoms(use_true_random=False))
+def test_no_hearsay_leaves_a_slice_bare_or_lets_a_barred_server_in(rng):
+    world = World("pqrstu", slices=12)
+    names = "pqrstux"
+    for _ in range(4):
+        world.tell(
+            *[api.EndpointRecalled(n, rng.choice((0, 5)), rng.choice((0.01, 0.3, 1, 90))) for n in names],
+            *[api.EndpointTrusted(n, rng.choice((0.0, 0.3, 1.0))) for n in names],
+            *[api.SliceRecalled(k, (rng.random() * 1e3, 0.0), ((rng.choice(names), 1.0),)) for k in range(14)],
+            api.FleetRecalled((rng.choice((0.05, 1.0)),) * 2, tuple(rng.sample(names, 2)), rng.random() * 1e4,
+                              rng.random() * 1e2))
+        out = rng.choice("pqr")
+        world.tell(api.ListChanged("update", (entry(out, rng.choice(("terminating", "terminated"))),)))
+        world.run(4, latency={n: rng.choice((50, 900)) for n in names})
+        assert not world.bare()
+        assert not any(out in world.live(n) for n in world.tables)
+        world.tell(api.ListChanged("update", (entry(out),)))
+        world.run(1)
