Start without discovery: kept lists trusted by age, doubtful lists held, several sources

A pilot that starts while no list source answers believed its kept list whole, however old; a list that came back half empty emptied the fleet; there was one source. Change: trust in each entry by when something last spoke for it, ended by good answers, refused by nothing but failures, trials one at a time; what vanishes in too large a part is held for 30 s, unless it fails or an operator accepts it (the rule checker counts the same way); sources in order, with hold and steadiness, a drain by any binds; calls to a source within a budget. `damsonpick knowledge show|verify|export|forget`, `damsonpick list show|accept`.

--- /dev/null
+++ b/benchmarks/knowledge_kills.py
@@ -0,0 +1,148 @@
+"""SIGKILL at random moments of a running pilot under load: files, time to tables, rules.
+
+    python -m benchmarks.knowledge_kills --kills 500 --out benchmarks/knowledge_kills.json
+
+Twenty stand-in gateways with load, sixteen servers, the wall's own pace. After each kill both generations are read:
+each must be whole, and the newest no older than the one before the kill. After every tenth kill the newest is damaged
+by a flipped bit: the pilot must start on the other one. `joined` is from the start of the process until the last
+gateway is on a stream again (it keeps its tables meanwhile). The rules are checked over the whole record, among them
+that no gateway lacks a line.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import platform
+import random
+import statistics
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from benchmarks.knowledge_restart import SECOND
+from damsonpick.badday import player
+from damsonpick.badday.script import Script
+from damsonpick.badday.stage import Stage
+from damsonpick.knowledge import codec, generations
+from damsonpick.settings.load import load
+
+GATEWAYS = 20
+
+
+def script() -> Script:
+    shared = {"aim": "1.5 s", "deadline": "4 s", "work": "300 ms"}
+    return Script.model_validate({
+        "day": {"length": "1 h", "rate": 1, "gateways": GATEWAYS, "servers": 16, "load": 0.35, "cores": 2,
+                "slices": 96},
+        "classes": {"page": {**shared, "share": 0.6},
+                    "tally": {**shared, "share": 0.4, "worth": 2, "effect": "non_idempotent"}},
+        "troubles": {},
+        "pilot": {
+            "rules": {"drain_grace": "2.5 s", "bare_limit": "2.5 s", "cold_share": "0.2", "cold_time": "10 s",
+                      "fall_multiple": "4", "fall_time": "1.5 s"},
+            "channel": {"lines_per_second": "4000", "limit": "8000"},
+            "knowledge": {"every": "100 ms"}}})
+
+
+def read(folder: Path) -> dict[str, Any]:
+    """Both generations: sequence, or why it is refused."""
+    found: dict[str, Any] = {}
+    for which in (generations.CURRENT, generations.PREVIOUS):
+        try:
+            found[which] = codec.decode((folder / which).read_bytes()).sequence
+        except FileNotFoundError:
+            found[which] = None
+        except codec.Damaged as error:
+            found[which] = str(error)
+    return found
+
+
+async def campaign(folder: Path, kills: int, seed: int) -> dict[str, Any]:
+    rng = random.Random(seed)
+    stage = Stage(script(), seed, folder, player.PILOT)
+    kept = folder / "state" / "knowledge"
+    lives: list[tuple[int, int]] = []  # start of the process, its kill
+    torn, lost, refused, newest = 0, 0, 0, 0
+    async with anyio.create_task_group() as group:
+        try:
+            await stage.build(group)
+            await stage.wait(5 * SECOND)
+            for k in range(kills):
+                await stage.wait(int(rng.uniform(0.3, 1.6) * SECOND))
+                await stage.kill_pilot()
+                files = read(kept)
+                whole = [v for v in files.values() if isinstance(v, int)]
+                torn += any(isinstance(v, str) for v in files.values())
+                lost += not whole or max(whole) < newest
+                newest = max(whole, default=0)
+                if k % 10 == 9:
+                    path = kept / generations.CURRENT
+                    data = bytearray(path.read_bytes())
+                    bit = rng.randrange(len(data) * 8)
+                    data[bit // 8] ^= 1 << bit % 8
+                    path.write_bytes(bytes(data))
+                    refused += isinstance(read(kept)[generations.CURRENT], str)
+                    newest = min(whole)
+                start = stage.clock.now()
+                await stage.start_pilot()
+                lives.append((start, 0))
+                if k % 50 == 49:
+                    print(k + 1, files, flush=True)
+            await stage.wait(4 * SECOND)
+        finally:
+            await stage.end()
+        group.cancel_scope.cancel()
+    outcome = player.judge(folder, player.limits(load(stage.settings_file)))
+    joined = joins(folder, [start for start, _ in lives])
+    late = [t for t in joined if t > 2]
+    log = (folder / "pilot.log").read_text()
+    return {"kills": kills, "files torn": torn, "generations lost": lost, "damaged on purpose": kills // 10,
+            "damaged and refused": refused, "said in the log": log.count("knowledge_refused"),
+            "restarts that were told of it": log.count('"event": "recalled"'),
+            "joined_s": {"median": round(statistics.median(joined), 3), "p99": round(sorted(joined)[
+                int(0.99 * len(joined))], 3), "most": round(max(joined), 3), "over 2 s": len(late),
+                "lives that ended before all had joined": len(lives) - len(joined)},
+            "requests": outcome.requests, "service": round(outcome.service, 4), "rules kept": outcome.kept,
+            "rules": [{"rule": r.name, "tested": r.tested, "worst": round(r.worst, 3), "limit": r.limit,
+                       "breaches": len(r.breaches)} for r in outcome.rules]}
+
+
+def joins(folder: Path, starts: list[int]) -> list[float]:
+    """For each life: s from its start until the last gateway was on a stream (they keep their tables meanwhile)."""
+    ups = [(e["t"], e["gw"]) for e in player.records(folder) if e["e"] == "stream" and e["up"]]
+    found = []
+    for k, start in enumerate(starts):
+        end = starts[k + 1] if k + 1 < len(starts) else start + 10 * SECOND
+        mine: dict[str, int] = {}
+        for t, gateway in ups:
+            if start <= t < end:
+                mine.setdefault(gateway, t)
+        if len(mine) == GATEWAYS:
+            found.append((max(mine.values()) - start) / SECOND)
+    return found
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--kills", type=int, default=500)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--out", type=Path)
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory() as scratch:
+        found = anyio.run(campaign, Path(scratch), args.kills, args.seed)
+    result = {"command": f"python -m benchmarks.knowledge_kills --kills {args.kills} --out "
+              "benchmarks/knowledge_kills.json", "seed": args.seed,
+              "machine": {"python": platform.python_version(), "cores": os.cpu_count()}, **found}
+    print(json.dumps(result, indent=1))
+    if args.out:
+        args.out.write_text(json.dumps(result, indent=1) + "\n")
+    sys.exit(0 if not found["files torn"] and not found["generations lost"] and found["rules kept"] else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/knowledge_restart.py
@@ -0,0 +1,188 @@
+"""What a restart of the pilot costs, with its knowledge kept, without any, and with wrong knowledge.
+
+    python -m benchmarks.knowledge_restart --seeds 20 --jobs 3 --out benchmarks/knowledge_restart.json
+
+Stand-in servers and gateways on loopback, days at three times the wall's pace. Scenarios: `calm`, `rush` (with two
+slow servers) and `overload` (over twice what fits). The pilot is killed at 24 s of the day and started again at once;
+counted is the worth served in time of what was asked in the 30 s after the kill. Arms, with the same seed: `none`
+(no kill), `kept`, `empty` (what was learned and the standing orders removed: the project before it kept any, tables and
+list are there) and `wrong` (speeds turned round, heat shuffled, best and pace times five: a whole file, not a damaged
+one). Loss is `none` less the arm. Two-sided 95% intervals of Student's t over the seeds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import platform
+import random
+import sqlite3
+import statistics
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import anyio
+import msgspec
+from scipy import stats
+
+from damsonpick.badday import player
+from damsonpick.badday.script import Script
+from damsonpick.badday.stage import Stage
+from damsonpick.badday.troubles import ALL
+from damsonpick.knowledge import codec, generations
+from damsonpick.knowledge.disk import OsDisk
+from damsonpick.knowledge.model import Fleet, Snapshot
+
+SECOND = 1_000_000_000
+KILL, WINDOW, END = 24, 30, 56  # s of the day
+SLOW = {"slow": {"kind": "slow", "at": "4 s", "len": "51 s", "part": "0.125", "size": "4"}}
+SCENARIOS: dict[str, dict[str, Any]] = {
+    "calm": {},
+    "rush": {**SLOW, "rush": {"kind": "rush", "at": "14 s", "len": "41 s", "size": "1.35"}},
+    "overload": {"rush": {"kind": "rush", "at": "6 s", "len": "49 s", "size": "2.4"}},
+}
+ARMS = ("none", "kept", "empty", "wrong")
+
+
+def script(scenario: str) -> Script:
+    shared = {"aim": "1.5 s", "deadline": "4 s", "work": "300 ms"}
+    return Script.model_validate({
+        "day": {"length": f"{END} s", "rate": 3, "gateways": 12, "servers": 16, "load": 0.5, "cores": 2, "slices": 96},
+        "classes": {"page": {**shared, "share": 0.6}, "tally": {**shared, "share": 0.4, "worth": 2}},
+        "troubles": SCENARIOS[scenario],
+        "pilot": {
+            "rules": {"drain_grace": "2.5 s", "bare_limit": "2.5 s", "cold_share": "0.2", "cold_time": "10 s",
+                      "fall_multiple": "4", "fall_time": "1.5 s"},
+            "channel": {"lines_per_second": "4000", "limit": "8000"}}})
+
+
+def wrong(kept: Snapshot, seed: int) -> Snapshot:
+    """Whole, and wrong throughout."""
+    rng = random.Random(seed)
+    rates = [p.rates for p in kept.pieces]
+    rng.shuffle(rates)
+    return msgspec.structs.replace(
+        kept, servers=tuple(msgspec.structs.replace(s, speed=min(2.0, max(0.1, 1 / s.speed**2 if s.speed < 0.7
+                                                                           else rng.choice((0.3, 1.8)))))
+                            for s in kept.servers),
+        pieces=tuple(msgspec.structs.replace(p, rates=r) for p, r in zip(kept.pieces, rates, strict=True)),
+        fleet=Fleet(kept.fleet.best * 5, kept.fleet.pace * 5))
+
+
+def tamper(folder: Path, arm: str, seed: int) -> None:
+    """Between the kill and the start."""
+    state = folder / "state"
+    if arm == "empty":
+        generations.remove(state / "knowledge")
+        store = sqlite3.connect(state / "tables.db", isolation_level=None)
+        store.execute("DELETE FROM standing")
+        store.close()
+    elif arm == "wrong":
+        kept = generations.load(OsDisk(), state / "knowledge").snapshot
+        for which in (generations.CURRENT, generations.PREVIOUS):
+            (state / "knowledge" / which).write_bytes(codec.encode(wrong(kept, seed)))
+
+
+async def play(scenario: str, arm: str, seed: int, folder: Path) -> dict[str, Any]:
+    made = script(scenario)
+    stage = Stage(made, seed, folder, player.PILOT)
+    at = 0
+
+    async def strike(trouble: Any) -> None:
+        await stage.wait(trouble.at)
+        await ALL[trouble.kind](stage, trouble)
+
+    async with anyio.create_task_group() as group:
+        try:
+            await stage.build(group)
+            for trouble in made.troubles.values():
+                group.start_soon(strike, trouble)
+            await stage.wait(KILL * SECOND)
+            at = stage.clock.now()
+            if arm != "none":
+                await stage.kill_pilot()
+                tamper(folder, arm, seed)
+                await stage.start_pilot()
+            await stage.wait(at + (END - KILL) * SECOND - stage.clock.now())
+        finally:
+            await stage.end()
+        group.cancel_scope.cancel()
+    from damsonpick.settings.load import load
+
+    outcome = player.judge(folder, player.limits(load(stage.settings_file)))
+    done = [e for e in player.records(folder) if e["e"] == "done" and at <= e["begun"] < at + WINDOW * SECOND]
+    asked = sum(e["worth"] for e in done)
+    served = sum(e["worth"] for e in done if e["ok"] and e["ms"] <= e["aim"])
+    return {"scenario": scenario, "arm": arm, "seed": seed, "service": served / asked, "requests": len(done),
+            "kept": outcome.kept, "broken": [r.name for r in outcome.rules if r.breaches]}
+
+
+def one(job: tuple[str, str, int]) -> dict[str, Any]:
+    """One play in a process of its own."""
+    words = [sys.executable, "-m", "benchmarks.knowledge_restart", "--one", json.dumps(job)]
+    for _ in range(2):
+        done = subprocess.run(words, capture_output=True, text=True)
+        if done.returncode == 0:
+            found = json.loads(done.stdout)
+            print(found, flush=True)
+            return found
+    raise RuntimeError(done.stderr[-2000:])
+
+
+def interval(figures: list[float]) -> dict[str, float]:
+    mean = statistics.mean(figures)
+    half = stats.t.ppf(0.975, len(figures) - 1) * statistics.stdev(figures) / len(figures) ** 0.5 \
+        if len(figures) > 1 else 0.0
+    return {"mean": round(mean, 4), "half_width": round(float(half), 4)}
+
+
+def summed(rows: list[dict[str, Any]]) -> dict[str, Any]:
+    by = {(r["scenario"], r["arm"], r["seed"]): r["service"] for r in rows}
+    found: dict[str, Any] = {}
+    for scenario in SCENARIOS:
+        seeds = sorted({s for sc, arm, s in by if sc == scenario})
+        if not seeds:
+            continue
+        row: dict[str, Any] = {"service without a kill": interval([by[scenario, "none", s] for s in seeds])}
+        for arm in ARMS[1:]:
+            row[f"loss, {arm}"] = interval([by[scenario, "none", s] - by[scenario, arm, s] for s in seeds])
+        row["kept less empty"] = interval([by[scenario, "kept", s] - by[scenario, "empty", s] for s in seeds])
+        row["wrong less empty"] = interval([by[scenario, "wrong", s] - by[scenario, "empty", s] for s in seeds])
+        empty = row["loss, empty"]["mean"]
+        row["part of the loss gone"] = round(1 - row["loss, kept"]["mean"] / empty, 2) if empty > 0 else None
+        found[scenario] = row
+    return found
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--out", type=Path)
+    parser.add_argument("--one")
+    args = parser.parse_args()
+    if args.one:
+        scenario, arm, seed = json.loads(args.one)
+        with tempfile.TemporaryDirectory() as scratch:
+            print(json.dumps(anyio.run(play, scenario, arm, seed, Path(scratch))))
+        return
+    jobs = [(scenario, arm, seed) for seed in range(1, args.seeds + 1) for scenario in SCENARIOS for arm in ARMS]
+    with ThreadPoolExecutor(args.jobs) as pool:
+        rows = list(pool.map(one, jobs))
+    result = {"command": f"python -m benchmarks.knowledge_restart --seeds {args.seeds} --jobs {args.jobs} "
+              "--out benchmarks/knowledge_restart.json", "seeds": args.seeds,
+              "machine": {"python": platform.python_version(), "cores": os.cpu_count(), "days at once": args.jobs},
+              "result": summed(rows), "days": len(rows), "rules broken": [r for r in rows if not r["kept"]],
+              "rows": rows}
+    print(json.dumps(result["result"], indent=1))
+    if args.out:
+        args.out.write_text(json.dumps(result, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/damsonpick/badday/script.py
+++ b/damsonpick/badday/script.py
@@ -12,7 +12,7 @@
 from damsonpick.settings.units import Duration, Names
 
 Share = Annotated[float, Field(gt=0, le=1)]
-PILOT_SECTIONS = ("rules", "channel", "reports", "solver")  # handed to the pilot as they stand
+PILOT_SECTIONS = ("rules", "channel", "reports", "solver", "knowledge")  # handed to the pilot as they stand
 
 
 class Section(BaseModel):
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -13,6 +13,7 @@
 import click
 
 from damsonpick.cli.asking import WRONG, as_json, ask, load_settings, rows, settings_file
+from damsonpick.cli.knowledge import knowledge, listing
 from damsonpick.cli.versions import versions
 
 
@@ -194,6 +195,8 @@
 
 
 main.add_command(versions)
+main.add_command(knowledge)
+main.add_command(listing)
 
 
 @main.group()
--- /dev/null
+++ b/damsonpick/daemon/listing.py
@@ -0,0 +1,176 @@
+"""The list sources' shell: asks all of them, hands on what is believed, and how far."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from damsonpick import interface as api
+from damsonpick.engine.clock import Clock
+from damsonpick.engine.core import Engine
+from damsonpick.evidence.sums import Evidence
+from damsonpick.knowledge import recall
+from damsonpick.knowledge.model import Snapshot
+from damsonpick.knowledge.trust import Trust
+from damsonpick.roster.judge import Roster, Verdict
+from damsonpick.roster.listfile import FileSource, ListError
+from damsonpick.roster.redial import Redial
+from damsonpick.roster.sources import Sources
+from damsonpick.roster.upstream import UpstreamSource
+from damsonpick.settings.model import ListSource, PilotSettings
+from damsonpick.store.sqlite import Store
+
+LOOK = 250_000_000  # ns between looks at what only time changes
+FIRST = "list"  # the name of the source in [list]
+
+
+class Listing:
+    """Args: settings, clock, roster, engine, evidence, store of one pilot; stir: wakes its loop; log: structlog."""
+
+    def __init__(self, settings: PilotSettings, clock: Clock, roster: Roster, engine: Engine, evidence: Evidence,
+                 store: Store, stir: Callable[[], None], log: Any) -> None:
+        self.settings, self.clock, self.roster, self.engine = settings, clock, roster, engine
+        self.evidence, self.store, self.stir, self.log = evidence, store, stir, log
+        self.named: dict[str, ListSource] = {FIRST: settings.list, **settings.lists}
+        self.sources = Sources(tuple(self.named), clock.now())
+        self.trust = Trust()
+        self.changed: Callable[[], None] = lambda: None
+        self.said = "nothing yet"
+        self.taken: tuple[str, list[api.ListEntry]] | None = None  # believed source and list, as last handed on
+        self.disputes: list[str] = []
+        engine.doubted = lambda: self.trust.again()
+
+    def begin(self, learned: Snapshot | None, away: int | None) -> None:
+        """The kept list is in force."""
+        now = self.clock.now()
+        self.evidence.known = set(self.roster.entries)
+        self.trust.start(now, recall.kept(learned, now, away, self.roster.entries, self.store.listed_at()))
+
+    def vouched(self) -> int:
+        """Clock time when the believed source last stood by the list; 0: it does not."""
+        believed = self.sources.believed
+        return self.clock.now() if believed and self.sources.all[believed].up else 0
+
+    # -- what sources say
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            for name, source in self.named.items():
+                group.start_soon(self._follow, name, source)
+            while True:
+                await anyio.sleep(self.clock.seconds(LOOK))
+                self._look()
+
+    async def _follow(self, name: str, s: ListSource) -> None:
+        if s.source == "file":
+            source = FileSource(s.file, self.clock.seconds(s.poll))
+        else:
+            redial = Redial(random.Random(f"{self.settings.pilot.seed} {name}"))
+            source = UpstreamSource(s.upstream, s.cluster, self.settings.pilot.name, redial)
+        async for said in source.lists():
+            self.heard(name, said)
+
+    def heard(self, name: str, said: list[api.ListEntry] | ListError) -> None:
+        """One source has given a list, or why there is none; the module hears of both."""
+        now = self.clock.now()
+        if not isinstance(said, ListError) and not said and self.roster.entries:
+            said = ListError(f"{name}: the list is empty: taken as a failed source, the kept list stays in force")
+            self.log.warning("list_doubted", what=str(said))
+        if isinstance(said, ListError):
+            if self.sources.all[name].why != str(said):
+                self.log.warning("list_failed", source=name, why=str(said), kept=len(self.roster.entries))
+            self.sources.take(now, name, None, str(said))
+            if not any(s.up for s in self.sources.all.values()):
+                self.said = str(said)
+                self.engine.tell(self.roster.failed())
+        else:
+            self.sources.take(now, name, said)
+        self._merge(now)
+        self.stir()
+
+    def _merge(self, now: int) -> None:
+        entries, disputes = self.sources.merged(now)
+        for dispute in disputes:
+            if dispute not in self.disputes:
+                self.log.warning("list_disputed", what=dispute)
+        self.disputes = disputes
+        if entries is None or self.taken == (self.sources.believed, entries):
+            return
+        if self.taken is not None and self.taken[0] != self.sources.believed:
+            self.log.warning("list_source", now=self.sources.believed, before=self.taken[0])
+        self.taken = (self.sources.believed, entries)
+        self._use(self.roster.take(now, entries, lambda name: self.trust.lost(now, name)))
+        self.said = f"{len(entries)} servers"
+
+    def _use(self, verdict: Verdict) -> None:
+        """Hand on a list."""
+        for doubt in verdict.doubts:
+            self.log.warning("list_doubted", what=doubt)
+        event, now = verdict.event, self.clock.now()
+        if event is None:
+            return
+        self.evidence.known.update(e.endpoint for e in event.entries)
+        if event.kind == "replace":
+            self.trust.vouch(now, (e.endpoint for e in event.entries))
+            self._keep(event)
+        self.engine.relocate(now, self.roster.moved(event.entries))
+        self.engine.tell(event, *self.trust.say(now))
+        self.changed()
+        self.stir()
+
+    def _keep(self, event: api.ListChanged) -> None:
+        states: dict[str, int] = {}
+        for entry in event.entries:
+            states[entry.state] = states.get(entry.state, 0) + 1
+        self.log.info("listed", **states)
+        try:
+            self.store.keep_list(event.entries, self.clock.now(), self.sources.believed, self.roster.held)
+        except Exception as error:
+            self.log.error("list_not_kept", error=str(error), remedy="free space or rights on the state folder")
+
+    def _look(self) -> None:
+        """What only time changes: which source is believed, what is held, how far entries are trusted."""
+        now = self.clock.now()
+        self._merge(now)
+        verdict = self.roster.recheck(now, lambda name: self.trust.lost(now, name))
+        if verdict is not None:
+            self._use(verdict)
+        if said := self.trust.say(now):
+            self.log.info("list_trust", **{e.endpoint: e.trust for e in said[:20]}, of=len(said))
+            self.engine.tell(*said)
+            self.stir()
+
+    # -- questions
+
+    def answer(self, request: dict[str, Any]) -> dict[str, Any]:
+        """What `damsonpick list` asks.
+
+        Raises:
+            ValueError: an order that there is not.
+        """
+        now, what = self.clock.now(), request.get("do", "show")
+        if what == "accept":
+            held = sorted(self.roster.held)
+            verdict = self.roster.accept(now, lambda name: False)
+            if verdict is not None:
+                self._use(verdict)
+                self.log.warning("list_accepted", gone=held)
+            return {"accepted": held}
+        if what != "show":
+            raise ValueError(f"unknown order {what!r}; use show or accept")
+        levels = self.trust.levels(now) if self.trust.due(now) else {}
+        rows = [{"endpoint": e.endpoint, "zone": e.zone, "state": e.state, "weight": e.weight, "started": e.started,
+                 "trust": levels.get(e.endpoint, 1.0), "held": e.endpoint in self.roster.held,
+                 "spoken_for_s": self._spoken(now, e.endpoint)}
+                for e in sorted(self.roster.entries.values())]
+        return {"live": self.trust.live, "sources": self.sources.view(now), "disputes": self.disputes, "servers": rows,
+                "held_for_s": round((now - self.roster.held_since) / 1e9, 1) if self.roster.held else None}
+
+    def _spoken(self, now: int, name: str) -> float | None:
+        """Seconds since a source or a good answer spoke for an entry; None: not known."""
+        doubt = self.trust.doubts.get(name)
+        last = max([*(doubt.kept if doubt else ()), self.trust.answered.get(name, 0), 0])
+        return round((now - last) / 1e9, 1) if last else None
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -14,6 +13,7 @@
 from damsonpick.channel.queue import Channel
 from damsonpick.choice import Planner
 from damsonpick.daemon import control
+from damsonpick.daemon.listing import Listing
 from damsonpick.daemon.questions import Questions
 from damsonpick.daemon.remembering import Remembering
 from damsonpick.daemon.solving import Solving
@@ -22,9 +22,6 @@
 from damsonpick.evidence.sums import Evidence, GatewaySums
 from damsonpick.knowledge.disk import FolderLock
 from damsonpick.roster.judge import Roster
-from damsonpick.roster.listfile import FileSource, ListError
-from damsonpick.roster.redial import Redial
-from damsonpick.roster.upstream import UpstreamSource
 from damsonpick.settings.model import PilotSettings
 from damsonpick.solver.advice import Advisor
 from damsonpick.store.sqlite import Store
@@ -82,7 +79,9 @@
         more = {"solve": solve} if solve else {}
         self.solving = Solving(self.advisor, self.engine, self.clock, self.stir, log, **more)
         self.port = 0
-        self.list_said = "nothing yet"
+        self.listing = Listing(s, self.clock, self.roster, self.engine, self.evidence, self.store, self.stir, log)
+        self.remembering.vouched, self.remembering.answered = self.listing.vouched, self.listing.trust.answered
+        self.listing.changed = self._replan
 
     def stir(self) -> None:
         """Something happened that the engine should look at."""
@@ -95,7 +94,8 @@
         """The pilot serves while the block runs, and ends in order after it."""
         learned, away = self.remembering.read() if self.settings.knowledge.keep else (None, None)
         self.engine.start(self.clock.now(), learned, away)
-        self.evidence.known = set(self.roster.entries)
+        self.listing.begin(learned, away)
+        self.remembering.answered = self.listing.trust.answered
         s = self.settings
         server, self.port = await self.xds.start(self.settings.listen.xds, self.settings.listen.largest_request)
         self.log.info("pilot_started", name=self.settings.pilot.name, port=self.port, epoch=self.epoch,
@@ -103,7 +103,7 @@
         try:
             async with anyio.create_task_group() as group:
                 await group.start(self._control)
-                group.start_soon(self._list)
+                group.start_soon(self.listing.run)
                 group.start_soon(self._reports)
                 group.start_soon(self._custody)
                 group.start_soon(self._drive)
@@ -151,48 +151,11 @@
                            remedy="others keep the former one; see `versions who`, then go back or change the table")
         self.hub.stopped.clear()
 
-    async def _list(self) -> None:
-        s = self.settings.list
-        if s.source == "file":
-            source = FileSource(s.file, self.clock.seconds(s.poll))
-        else:
-            redial = Redial(random.Random(self.settings.pilot.seed))
-            source = UpstreamSource(s.upstream, s.cluster, self.settings.pilot.name, redial)
-        async for said in source.lists():
-            self._listed(said)
-
-    def _listed(self, said: list[api.ListEntry] | ListError) -> None:
-        """A list, or why there is none; the module hears of both."""
-        if isinstance(said, ListError):
-            if self.list_said != str(said):
-                self.log.warning("list_failed", why=str(said), kept=len(self.roster.entries))
-            self.list_said = str(said)
-            self.engine.tell(self.roster.failed())
-        else:
-            verdict = self.roster.take(self.clock.now(), said)
-            for doubt in verdict.doubts:
-                self.log.warning("list_doubted", what=doubt)
-            self.list_said = f"{len(said)} servers"
-            if verdict.event is not None:
-                self._known(verdict.event)
-                self.engine.relocate(self.clock.now(), self.roster.moved(verdict.event.entries))
-                self.engine.tell(verdict.event)
-                if self.settings.solved:
-                    self.engine.step(self.clock.now())
-                    self.solving.first()
-        self.stir()
-
-    def _known(self, event: api.ListChanged) -> None:
-        self.evidence.known.update(e.endpoint for e in event.entries)
-        if event.kind == "replace":
-            states: dict[str, int] = {}
-            for entry in event.entries:
-                states[entry.state] = states.get(entry.state, 0) + 1
-            self.log.info("listed", **states)
-            try:
-                self.store.keep_list(event.entries)
-            except Exception as error:
-                self.log.error("list_not_kept", error=str(error), remedy="free space or rights on the state folder")
+    def _replan(self) -> None:
+        """The list has changed: tables that the solver lays follow at once."""
+        if self.settings.solved:
+            self.engine.step(self.clock.now())
+            self.solving.first()
 
     def _hear(self, sums: GatewaySums) -> None:
         now = self.clock.now()
@@ -204,6 +167,7 @@
         while True:
             await anyio.sleep(self.clock.seconds(self.settings.reports.every))
             events = self.evidence.flush()
+            self.listing.trust.hear(self.clock.now(), events)
             if events:
                 self.engine.tell(*events)
                 self.stir()
@@ -234,16 +198,24 @@
             reply = self.questions.answer(self.clock.now(), request)
             self.stir()
             return reply
-        return {"error": f"unknown question {what!r}; ask status, tables, weights or versions"}
+        if what == "list":
+            return self.listing.answer(request)
+        if what == "forget":
+            self.remembering.forget()
+            self.engine.forget(self.clock.now())
+            self.stir()
+            return {"forgotten": True}
+        return {"error": f"unknown question {what!r}; ask status, tables, weights, versions, list or forget"}
 
     def _status(self) -> dict[str, Any]:
         now = self.clock.now()
         classes = self.published.classes
         return {
             "pilot": self.settings.pilot.name, "epoch": self.epoch, "port": self.port, "published": self.published.seq,
-            "module": "running" if self.engine.planner else "being started over", "list": self.list_said,
+            "module": "running" if self.engine.planner else "being started over", "list": self.listing.said,
             "failures": self.engine.failures, "slices": len(self.engine.owned), "unsaved": len(self.engine.unsaved),
             "levels": {name: self.published.level(None, k) for k, name in enumerate(classes)},
+            "knowledge": self.remembering.written,
             "channel": {"waiting": self.channel.waiting(), "most": self.channel.most, "limit": self.channel.limit},
             "gateways": list(self.hub.view(now)), "endpoints": self.engine.view(),
         }
--- a/damsonpick/daemon/remembering.py
+++ b/damsonpick/daemon/remembering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import anyio
@@ -20,6 +21,8 @@
     """Args: settings, clock; log: a structlog logger; disk: where files go."""
 
     def __init__(self, settings: PilotSettings, clock: Clock, log: Any, disk: generations.Disk | None = None) -> None:
+        self.vouched: Callable[[], int] = lambda: 0  # clock time when a source last stood by the list
+        self.answered: Mapping[str, int] = {}  # endpoint: when it last gave a good answer
         self.settings, self.clock, self.log, self.disk = settings, clock, log, disk or OsDisk()
         self.folder = settings.knowledge_path()
         self.found = generations.Found(None, "", (), False)
@@ -45,6 +48,11 @@
         ns = int(self.age.ns * self.clock.rate)
         return ageing.fade(snapshot, ns), ns
 
+    def forget(self) -> None:
+        """Remove what is kept."""
+        generations.remove(self.folder)
+        self.found = generations.Found(None, "", (), False)
+
     # -- while the pilot runs
 
     async def run(self, engine: Engine) -> None:
@@ -60,7 +68,8 @@
         planner = engine.planner
         if planner is None or self.found.newer:
             return
-        capture = recall.Capture(planner, self.sequence + 1, self.settings.pilot.name, moment())
+        capture = recall.Capture(planner, self.sequence + 1, self.settings.pilot.name, moment(),
+                                 self.clock.now(), self.vouched(), dict(self.answered))
         longest, start = 0.0, time.perf_counter()
         for _ in capture.steps():
             longest = max(longest, time.perf_counter() - start)
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -65,6 +65,7 @@
         self.levels: tuple[float, ...] = ()
         self.pinned = self.list_changed = False
         self.gone: dict[int, dict[str, float]] = {}  # lines that a rollback took out; gateways may hold them yet
+        self.doubted: Callable[[], list[api.Event]] = list  # trust that was said, for a new planner
         self.salvaged: Snapshot | None = None  # what a planner that failed had learned
         self.stood: dict[str, float] = {}  # standing orders as the store holds them
         self.withheld = 0  # orders of the last step that the pin held back
@@ -111,7 +112,7 @@
             # what a rollback took out is told as well: if such a server drains now, it must be withdrawn
             lines = {**self.gone.get(number, {}), **self.published.tables[number]}
             events += [api.StoredLine(number, name, weight) for name, weight in lines.items()]
-        events += self._recalled(learned)
+        events += [*self._recalled(learned), *self.doubted()]
         if again:  # they hold withdrawals of the planner that failed
             events += [api.ProxyJoined(m.number, m.session.zone, 0.0, False) for m in self.hub.members.values()]
         self.hub.events = [e for e in self.hub.events if not isinstance(e, api.Applied)] if not again else []
@@ -138,6 +139,10 @@
             return None
         return recall.take(self.planner, 0, self.owner, Moment(0, "", 0))
 
+    def forget(self, now: int) -> None:
+        """A planner that has learned nothing, in place of the one at work; tables and orders stay."""
+        self._begin(self.clock.take(now), anew=True)
+
     def tell(self, *events: api.Event) -> None:
         """Events for the next step, in order."""
         self.inbox.extend(events)
--- a/damsonpick/knowledge/ageing.py
+++ b/damsonpick/knowledge/ageing.py
@@ -51,7 +51,7 @@
 def fade(snapshot: Snapshot, ns: int) -> Snapshot:
     """What an age leaves of a snapshot."""
     speed, heat, warm = left(ns, SPEED), left(ns, HEAT), left(ns, WARMTH)
-    servers = tuple(Server(s.endpoint, s.started, s.speed ** speed) for s in snapshot.servers)
+    servers = tuple(Server(s.endpoint, s.started, s.speed ** speed, s.answered) for s in snapshot.servers)
     pieces = tuple(
         Piece(p.number, tuple(r * heat for r in p.rates), tuple((n, w * warm) for n, w in p.warmth
                                                                 if w * warm > NOTHING))
--- a/damsonpick/knowledge/codec.py
+++ b/damsonpick/knowledge/codec.py
@@ -23,7 +23,14 @@
 SUM = 16  # bytes
 LARGEST = 64_000_000  # bytes of a body
 
-MIGRATIONS: dict[int, Callable[[dict[str, Any]], dict[str, Any]]] = {}  # format: to the next one
+
+
+def _second(raw: dict[str, Any]) -> dict[str, Any]:
+    """Format 1 did not say when a server last answered, nor when the list was last stood by."""
+    return raw | {"clock": 0, "vouched": 0, "servers": [[*row, 0] for row in raw["servers"]]}
+
+
+MIGRATIONS: dict[int, Callable[[dict[str, Any]], dict[str, Any]]] = {1: _second}  # format: to the next one
 
 
 class Damaged(ValueError):
--- a/damsonpick/knowledge/generations.py
+++ b/damsonpick/knowledge/generations.py
@@ -55,6 +55,14 @@
     disk.sync_folder(folder)
 
 
+def remove(folder: Path) -> int:
+    """Forget all generations; returns how many files there were."""
+    files = [p for p in (folder / n for n in (CURRENT, PREVIOUS, PART)) if p.exists()]
+    for path in files:
+        path.unlink()
+    return len(files)
+
+
 def load(disk: Disk, folder: Path) -> Found:
     """The newest whole generation."""
     best: tuple[Snapshot, str] | None = None
--- a/damsonpick/knowledge/recall.py
+++ b/damsonpick/knowledge/recall.py
@@ -11,6 +11,7 @@
 from damsonpick import interface as api
 from damsonpick.choice import Planner
 from damsonpick.knowledge.model import Fleet, Moment, Piece, Server, Snapshot
+from damsonpick.knowledge.trust import Kept
 
 CHUNK = 200  # slices looked at in one go
 LEAST_SPEED, MOST_SPEED = 0.01, 100.0
@@ -23,10 +24,14 @@
     Args:
         planner: what is read; it may go on between the steps.
         sequence, pilot, at: of the snapshot.
+        clock, vouched, answered: the pilot's clock, when a source last stood by the list, and when each server last
+            gave a good answer.
     """
 
-    def __init__(self, planner: Planner, sequence: int, pilot: str, at: Moment) -> None:
+    def __init__(self, planner: Planner, sequence: int, pilot: str, at: Moment, clock: int = 0, vouched: int = 0,
+                 answered: Mapping[str, int] | None = None) -> None:
         self.planner, self.sequence, self.pilot, self.at = planner, sequence, pilot, at
+        self.clock, self.vouched, self.answered = clock, vouched, answered or {}
         self.servers: list[Server] = []
         self.pieces: list[Piece] = []
 
@@ -34,8 +39,9 @@
         """Each step looks at some servers or slices."""
         planner = self.planner
         for name, ep in list(planner.endpoints.items()):
-            if ep.heard or ep.recalled:  # the rest is as the ignorant assume
-                self.servers.append(Server(name, ep.started, min(MOST_SPEED, max(LEAST_SPEED, ep.speed))))
+            when = self.answered.get(name, 0)
+            if ep.heard or ep.recalled or when:  # the rest is as the ignorant assume
+                self.servers.append(Server(name, ep.started, min(MOST_SPEED, max(LEAST_SPEED, ep.speed)), when))
         yield
         for k, piece in enumerate(list(planner.slices.values())):
             warmth = tuple((n, min(1.0, w)) for n, w in piece.warmth.items() if w > LEAST_WARMTH)
@@ -45,9 +51,9 @@
 
     def snapshot(self) -> Snapshot:
         planner = self.planner
-        return Snapshot(self.sequence, self.pilot, self.at, tuple(c.name for c in planner.settings.classes),
-                        planner.settings.slices, tuple(self.servers), tuple(self.pieces),
-                        Fleet(max(0.0, planner.best), max(0.0, planner.pace)))
+        classes = tuple(c.name for c in planner.settings.classes)
+        return Snapshot(self.sequence, self.pilot, self.at, self.clock, self.vouched, classes, planner.settings.slices,
+                        tuple(self.servers), tuple(self.pieces), Fleet(max(0.0, planner.best), max(0.0, planner.pace)))
 
 
 def take(planner: Planner, sequence: int, pilot: str, at: Moment) -> Snapshot:
@@ -88,3 +94,26 @@
         mine = set(owned)
         found += [api.SliceRecalled(p.number, p.rates, p.warmth) for p in snapshot.pieces if p.number in mine]
     return found, anew
+
+
+def kept(snapshot: Snapshot | None, now: int, away: int | None, listed: Mapping[str, api.ListEntry],
+         at: Mapping[str, tuple[int, str]]) -> dict[str, Kept]:
+    """When each entry of a kept list was last spoken for, on the clock of this life.
+
+    Args:
+        now, away: ns; the clock, and how long ago the snapshot was made.
+        listed, at: the kept list, and when and by which source each entry was listed.
+    """
+    newest = max((when for when, _ in at.values()), default=0)
+    vouched, answered = 0, {}
+    if snapshot is not None and away is not None and snapshot.clock:
+        shift = now - away - snapshot.clock  # from the clock of that life, whatever was done to it since, to ours
+        vouched = snapshot.vouched + shift if snapshot.vouched else 0
+        answered = {s.endpoint: s.answered + shift for s in snapshot.servers if s.answered
+                    and s.endpoint in listed and listed[s.endpoint].started == s.started}
+    found = {}
+    for name in listed:
+        when = at.get(name, (0, ""))[0]
+        mine = max(when, vouched) if when == newest else when
+        found[name] = Kept(min(now, mine), min(now, answered.get(name, 0)))
+    return found
--- a/damsonpick/roster/judge.py
+++ b/damsonpick/roster/judge.py
@@ -3,15 +3,23 @@
 A list is a claim, not a truth. Here it is made consistent: an endpoint named twice takes the safer
 state, a start in the future is the moment it was first seen, and an empty list after a full one is a
 failed source (a real fleet does not vanish in one answer), so the kept list stays in force.
+
+So is, for a while, a list that no longer names a large part of what served: the missing stay as they were until the
+list has said so for `CONFIRM`, an operator accepts it, or nothing speaks for them any more (gateways get nothing but
+failures).
+A drain or an end that a list states binds at once, however many it names.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from damsonpick import interface as api
 
+SECOND = 1_000_000_000
+VANISH, VANISH_LEAST = 0.4, 3  # share of those in service, and how many, that may not vanish at once
+CONFIRM = 30 * SECOND  # ns that a list must go on saying so
 STATES = ("in_service", "terminating", "terminated")  # from harmless to binding
 
 
@@ -29,6 +37,10 @@
         self.zones = zones
         self.entries: dict[str, api.ListEntry] = {}
         self.fresh = False  # a list has come since the start
+        self.claim: list[api.ListEntry] = []  # the last list that was taken, as it came
+        self.held: dict[str, api.ListEntry] = {}  # missing from it, and kept
+        self.held_since = 0
+        self.accepted = False  # an operator accepts what is missing
         self.places: dict[str, str] = {}  # zone by endpoint, kept after it has left the list
 
     def restore(self, entries: Iterable[api.ListEntry]) -> api.ListChanged:
@@ -46,8 +58,39 @@
     def failed(self) -> api.ListChanged:
         return api.ListChanged("unavailable", ())
 
-    def take(self, now: int, claimed: Iterable[api.ListEntry]) -> Verdict:
-        """A whole list from a source, as a `replace` event; nothing where it says what is known."""
+    def recheck(self, now: int, lost: Callable[[str], bool]) -> Verdict | None:
+        """Whether entries that are held can go by now; None: none are held."""
+        return self.take(now, self.claim, lost) if self.held else None
+
+    def accept(self, now: int, lost: Callable[[str], bool]) -> Verdict | None:
+        """An operator believes the list."""
+        self.accepted = True
+        return self.recheck(now, lost)
+
+    def _hold(self, now: int, listed: dict[str, api.ListEntry], lost: Callable[[str], bool], doubts: list[str]) -> None:
+        """Keep what vanished in too large a part, in `listed`."""
+        serving = [n for n, e in self.entries.items() if e.state == "in_service"]
+        missing = [n for n in serving if n not in listed]
+        many = len(missing) >= VANISH_LEAST and len(missing) > VANISH * len(serving)
+        held = {n: self.entries[n] for n in missing if not lost(n)} if many else {}
+        if held and not self.held:
+            self.held_since = now
+        if self.accepted or (held and now - self.held_since >= CONFIRM):
+            held = {}
+        if held and held.keys() != self.held.keys():
+            doubts.append(f"{len(missing)} of {len(serving)} servers are missing at once: {len(held)} of them are kept "
+                          f"for {CONFIRM // SECOND} s unless they fail; `damsonpick list accept` ends it")
+        self.held, self.accepted = held, False
+        listed.update(held)
+
+    def take(self, now: int, claimed: Iterable[api.ListEntry],
+             lost: Callable[[str], bool] = lambda name: False) -> Verdict:
+        """A whole list from a source, as a `replace` event; nothing where it says what is known.
+
+        Args:
+            lost: whether nothing speaks for an entry any more.
+        """
+        self.claim = claimed = list(claimed)
         doubts: list[str] = []
         listed: dict[str, api.ListEntry] = {}
         for entry in claimed:
@@ -60,6 +103,7 @@
         if not listed and self.entries:
             doubts.append("the list is empty: taken as a failed source, the kept list stays in force")
             return Verdict(self.failed(), doubts)
+        self._hold(now, listed, lost, doubts)
         if self.fresh and listed == self.entries:
             return Verdict(None, doubts)
         self.entries, self.fresh = listed, True
--- a/damsonpick/roster/upstream.py
+++ b/damsonpick/roster/upstream.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import grpc
@@ -18,6 +19,7 @@
 from damsonpick import interface as api
 from damsonpick.roster.listfile import ListError
 from damsonpick.roster.redial import Redial
+from damsonpick.roster.sources import Budget
 from damsonpick.wire import calls
 from damsonpick.xds.names import EDS
 
@@ -72,11 +74,15 @@
 class UpstreamSource:
     """Yields whole lists as the upstream sends them; a broken stream is a ListError and is dialled again."""
 
-    def __init__(self, address: str, cluster: str, node: str, redial: Redial) -> None:
+    def __init__(self, address: str, cluster: str, node: str, redial: Redial, budget: Budget | None = None,
+                 clock: Callable[[], int] = time.monotonic_ns) -> None:
         self.address, self.cluster, self.node, self.redial = address, cluster, node, redial
+        self.budget, self.clock = budget or Budget(), clock
 
     async def lists(self) -> AsyncIterator[list[api.ListEntry] | ListError]:
         while True:
+            await anyio.sleep(self.budget.wait(self.clock()) / 1e9)
+            self.budget.spend(self.clock())
             try:
                 async for said in self._stream():
                     yield said
--- a/damsonpick/rules/check.py
+++ b/damsonpick/rules/check.py
@@ -17,6 +17,7 @@
 from typing import Any, NamedTuple
 
 SECOND = 1_000_000_000
+VANISH, VANISH_LEAST, VANISH_CONFIRMED = 0.4, 3, 30 * SECOND  # see docs/design/knowledge.md
 SLACK_MS = 1500.0  # of work that may come to a cold server above the rule, by chance
 
 
@@ -106,6 +107,7 @@
         self.servers: dict[str, Server] = {}
         self.listed: dict[str, list[Any]] = {}
         self.ready = False
+        self.missing_since = 0
         self.ready_at = 0  # when a server under way to be warm will be
         self.out: dict[str, int] = {}  # server: since when the pilot knows it as draining or gone
         self.starts: dict[tuple[str, int], int] = {}  # (server, start): when the pilot was told of it
@@ -135,6 +137,7 @@
         entries = event["entries"]
         if not entries:
             return
+        entries = self._doubted(event["t"], entries)
         for server in {*self.listed, *entries}:
             state = entries[server][0] if server in entries else "terminated"
             if state == "in_service":
@@ -147,6 +150,19 @@
         self.listed = dict(entries)
         self._set_ready(event["t"])
 
+    def _doubted(self, now: int, entries: dict[str, Any]) -> dict[str, Any]:
+        """A large part that vanishes in one list is no news until the list has said so for a while; a state that is
+        stated always is."""
+        serving = [n for n, e in self.listed.items() if e[0] == "in_service"]
+        missing = [n for n in serving if n not in entries]
+        if len(missing) < VANISH_LEAST or len(missing) <= VANISH * len(serving):
+            self.missing_since = 0
+            return entries
+        self.missing_since = self.missing_since or now
+        if now - self.missing_since >= VANISH_CONFIRMED:
+            return entries
+        return entries | {n: self.listed[n] for n in missing}
+
     def _set_ready(self, now: int) -> None:
         """Whether the list shows a server in service that is no longer cold; time without one does not count."""
         warm = [start + self.limits.cold_time if start else 0
--- a/damsonpick/settings/load.py
+++ b/damsonpick/settings/load.py
@@ -58,15 +58,17 @@
     except SettingsError as error:
         return None, error.problems
     problems: list[Problem] = []
-    raw: dict[str, object] = {"classes": {}}
+    raw: dict[str, object] = {"classes": {}, "lists": {}}
     for name in parser.sections():
         if name in SECTIONS:
             raw[name] = dict(parser[name])
         elif name.startswith("class ") and name[6:].strip():
             raw["classes"][name[6:].strip()] = dict(parser[name])
+        elif name.startswith("list ") and name[5:].strip():
+            raw["lists"][name[5:].strip()] = dict(parser[name])
         else:
             problems.append(Problem(name, "", "", "is no section; the sections are "
-                                    + ", ".join(f"[{s}]" for s in SECTIONS) + " and [class NAME]"))
+                                    + ", ".join(f"[{s}]" for s in SECTIONS) + ", [list NAME] and [class NAME]"))
     if not raw["classes"]:
         problems.append(Problem("class NAME", "", "", "is missing; add a section for each class of request"))
     try:
@@ -95,6 +97,8 @@
     place = [str(part) for part in error["loc"]]
     if place[0] == "classes":
         place = [f"class {place[1]}", *place[2:]] if len(place) > 1 else ["class NAME"]
+    if place[0] == "lists":
+        place = [f"list {place[1]}", *place[2:]]
     section, key = place[0], ".".join(place[1:])
     value = error.get("input")
     kind = error["type"]
@@ -113,6 +117,8 @@
 def _keys(section: str) -> list[str]:
     if section.startswith("class "):
         return list(model.RequestClass.model_fields)
+    if section.startswith("list "):
+        return list(model.ListSource.model_fields)
     field = model.PilotSettings.model_fields.get(section)
     return list(field.annotation.model_fields) if field else []
 
@@ -122,10 +128,11 @@
     found = []
     if s.pilot.zone not in s.pilot.zones:
         found.append(Problem("pilot", "zone", s.pilot.zone, "is not among zones; add it there or correct it"))
-    if s.list.source == "file" and s.list.file is None:
-        found.append(Problem("list", "file", "", "is missing; name the file that lists the servers"))
-    if s.list.source == "eds" and s.list.upstream is None:
-        found.append(Problem("list", "upstream", "", "is missing; give the address of the upstream EDS server"))
+    for section, listed in (("list", s.list), *((f"list {n}", x) for n, x in s.lists.items())):
+        if listed.source == "file" and listed.file is None:
+            found.append(Problem(section, "file", "", "is missing; name the file that lists the servers"))
+        if listed.source == "eds" and listed.upstream is None:
+            found.append(Problem(section, "upstream", "", "is missing; give the address of the upstream EDS server"))
     for name, kind in s.classes.items():
         if kind.deadline < kind.aim:
             found.append(Problem(f"class {name}", "deadline", f"{kind.deadline} ns",
@@ -148,5 +155,8 @@
 
 def _absolute(s: model.PilotSettings, base: Path) -> model.PilotSettings:
     pilot = s.pilot.model_copy(update={"state": base / s.pilot.state})
-    listed = s.list.model_copy(update={"file": base / s.list.file if s.list.file else None})
-    return s.model_copy(update={"pilot": pilot, "list": listed})
+    def placed(source: model.ListSource) -> model.ListSource:
+        return source.model_copy(update={"file": base / source.file if source.file else None})
+
+    return s.model_copy(update={"pilot": pilot, "list": placed(s.list),
+                                "lists": {n: placed(x) for n, x in s.lists.items()}})
--- a/damsonpick/settings/model.py
+++ b/damsonpick/settings/model.py
@@ -147,6 +147,7 @@
     channel: Channel
     reports: Reports = Reports()
     list: ListSource
+    lists: dict[str, ListSource] = {}  # [list NAME]: asked after [list], in this order
     solver: Solver = Solver()
     versions: Versions = Versions()
     knowledge: Knowledge = Knowledge()
--- a/damsonpick/store/sqlite.py
+++ b/damsonpick/store/sqlite.py
@@ -45,6 +45,9 @@
             if self.db.execute("PRAGMA quick_check").fetchone()[0] != "ok":
                 raise sqlite3.DatabaseError("the check of its pages failed")
             self.db.executescript(SCHEMA)
+            if "at" not in {row[1] for row in self.db.execute("PRAGMA table_info(listed)")}:
+                self.db.execute("ALTER TABLE listed ADD COLUMN at INTEGER NOT NULL DEFAULT 0")
+                self.db.execute("ALTER TABLE listed ADD COLUMN source TEXT NOT NULL DEFAULT ''")
             self._settle()
         except (sqlite3.Error, OSError) as error:
             raise StoreError(f"{path}: the store cannot be opened ({error}); check folder, rights and space, or "
@@ -135,10 +138,20 @@
         return [api.ListEntry(*row) for row in
                 self.db.execute("SELECT endpoint, zone, state, weight, started FROM listed")]
 
-    def keep_list(self, entries: Iterable[api.ListEntry]) -> None:
+    def listed_at(self) -> dict[str, tuple[int, str]]:
+        """When (clock time, ns; 0: not known) and by which source each entry was last listed."""
+        return {name: (at, source) for name, at, source in
+                self.db.execute("SELECT endpoint, at, source FROM listed")}
+
+    def keep_list(self, entries: Iterable[api.ListEntry], at: int = 0, source: str = "",
+                  held: Mapping[str, object] | None = None) -> None:
+        """The list in force. Entries that are `held`, though no source names them, keep their former time."""
+        former = self.listed_at() if held else {}
         with self.transaction():
             self.db.execute("DELETE FROM listed")
-            self.db.executemany("INSERT INTO listed VALUES (?, ?, ?, ?, ?)", list(entries))
+            self.db.executemany("INSERT INTO listed VALUES (?, ?, ?, ?, ?, ?, ?)", [
+                (*e, *(former.get(e.endpoint, (0, "")) if held and e.endpoint in held else (at, source)))
+                for e in entries])
 
     def close(self) -> None:
         self.db.close()
