The hub stands apart from the xDS wire: sessions of any front under one channel

Change: hub, marks, stages and the session's contract move to damsonpick/fronts/; the hub asks sessions for held versions in place of reading xDS watches.

--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -28,6 +28,7 @@
 
 from damsonpick import interface as api
 from damsonpick.engine.clock import Clock
+from damsonpick.fronts.session import Due
 from damsonpick.proxy.follow import Follower
 from damsonpick.proxy.holdings import Asker, Holdings
 from damsonpick.proxy.program import Proxy
@@ -40,7 +41,7 @@
 from damsonpick.versions.store import VersionStore
 from damsonpick.xds.names import EDS
 from damsonpick.xds.resources import Catalogue
-from damsonpick.xds.session import DeltaSession, Due
+from damsonpick.xds.session import DeltaSession
 from tests.pilots import SETTINGS, Pilot
 
 SLICES, LINES, READERS = 400, 60, 10
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -20,6 +20,7 @@
 from damsonpick.engine.clock import Clock
 from damsonpick.engine.core import Engine
 from damsonpick.evidence.sums import Evidence, GatewaySums
+from damsonpick.fronts.hub import Hub
 from damsonpick.knowledge.disk import FolderLock
 from damsonpick.roster.judge import Roster
 from damsonpick.settings.model import PilotSettings
@@ -28,7 +29,6 @@
 from damsonpick.tables.published import Published
 from damsonpick.versions.keeper import Keeper
 from damsonpick.versions.store import open_store
-from damsonpick.xds.hub import Hub
 from damsonpick.xds.names import EDS
 from damsonpick.xds.resources import Catalogue
 from damsonpick.xds.server import XdsServer
--- a/damsonpick/daemon/questions.py
+++ b/damsonpick/daemon/questions.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from damsonpick.engine.core import Engine
+from damsonpick.fronts.hub import Hub
 from damsonpick.settings.model import PilotSettings
 from damsonpick.versions.keeper import Keeper
-from damsonpick.xds.hub import Hub
 
 MOST = 1000  # versions in one answer
 
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -15,6 +15,8 @@
 from damsonpick.choice import Planner
 from damsonpick.engine import explain
 from damsonpick.engine.clock import Steady
+from damsonpick.fronts.hub import Hub
+from damsonpick.fronts.session import Session
 from damsonpick.knowledge import ageing, recall
 from damsonpick.knowledge.model import Fleet, Moment, Snapshot
 from damsonpick.roster.judge import Roster
@@ -24,8 +26,6 @@
 from damsonpick.versions import rollback
 from damsonpick.versions.history import number_of
 from damsonpick.versions.keeper import Keeper
-from damsonpick.xds.hub import Hub
-from damsonpick.xds.session import Session
 
 SECOND = 1_000_000_000
 RESTART_FIRST, RESTART_MOST = SECOND // 10, 9 * SECOND // 10  # ns before another planner is tried
--- a/damsonpick/xds/hub.py
+++ b/damsonpick/fronts/hub.py
@@ -1,24 +1,30 @@
-"""All streams of one pilot: who is joined, what goes to whom, and how far each has come. Sans I/O."""
+"""All sessions of one pilot, on any wire: who is joined, what goes to whom, how far each has come. Sans I/O."""
 
 from __future__ import annotations
 
 import heapq
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from damsonpick import interface as api
 from damsonpick.channel.queue import Channel
+from damsonpick.fronts.session import Due, Session
 from damsonpick.tables.published import FLEET, Change, Published
 from damsonpick.versions.digest import Digest
-from damsonpick.xds.names import EDS, RDS, SHORT
-from damsonpick.xds.resources import Catalogue
-from damsonpick.xds.session import Due, Session
 
 MOST_REFUSED = 10_000  # resources and versions whose refusers are remembered
 SPARE = 60_000  # numbers from here on are for second streams under a node id that is taken
 
 
+class Catalogue(Protocol):
+    """What keeps ready-made texts of the units in step with what is published."""
+
+    stopped: dict[str, str]  # unit: a version that too many refused
+
+    def refresh(self, units: Iterable[str]) -> object: ...
+
+
 class Waiting(NamedTuple):
     """A mark that a gateway has not yet answered for."""
 
@@ -172,9 +178,7 @@
         """
         for _, member in sorted(self.members.items()):
             session = member.session
-            held = {n: v for kind in (EDS, RDS) if kind in session.watches
-                    for n, v in session.watches[kind].held.items() if v}
-            since = max((w.since for w in session.watches.values()), default=0)
+            held, since = session.held(), session.since()
             root = Digest(held).root()
             yield {"gateway": session.node, "zone": session.zone, "root": root, "version": roots.get(root),
                    "pending": session.unanswered() + len(self.channel.waits[member.number].units)
@@ -193,6 +197,6 @@
                 "applied_s": round((now - member.acked_at) / 1e9, 3), "unanswered": session.unanswered(),
                 "waiting_lines": wait.lines,
                 "waiting_s": round((now - wait.ordered) / 1e9, 3) if wait.units else 0.0,
-                "holds": {SHORT[kind]: len(w.held) for kind, w in session.watches.items()},
+                "holds": session.holds(),
                 "rejected": dict(session.rejections),
             }
--- a/damsonpick/xds/server.py
+++ b/damsonpick/xds/server.py
@@ -12,8 +12,8 @@
 from google.protobuf.message import DecodeError
 
 from damsonpick.evidence.sums import GatewaySums
+from damsonpick.fronts.hub import Hub
 from damsonpick.xds import loads
-from damsonpick.xds.hub import Hub
 from damsonpick.xds.names import ADS_SERVICE, LRS_SERVICE
 from damsonpick.xds.session import DeltaSession, ProtocolError, Session, SotwSession
 
--- a/damsonpick/xds/session.py
+++ b/damsonpick/xds/session.py
@@ -13,10 +13,11 @@
 
 from envoy.service.discovery.v3 import discovery_pb2
 
+from damsonpick.fronts.session import Due
 from damsonpick.tables.published import FLEET
 from damsonpick.versions import statement
 from damsonpick.versions.digest import RANGES, Digest, range_of, within
-from damsonpick.xds.names import CDS, EDS, ORDER, SHORT
+from damsonpick.xds.names import CDS, EDS, ORDER, RDS, SHORT
 from damsonpick.xds.resources import Catalogue, kind_of
 
 MOST_FLIGHTS = 4  # responses not yet answered; beyond, orders wait and are merged
@@ -42,12 +43,6 @@
     detail: dict[str, object]
 
 
-class Due(NamedTuple):
-    first: int  # the lowest change number it answers for
-    ordered: int  # ns
-    lines: int
-
-
 class Flight:
     """One response on its way."""
 
@@ -284,6 +279,17 @@
     def unanswered(self) -> int:
         return sum(len(w.flights) for w in self.watches.values())
 
+    def held(self) -> dict[str, str]:
+        """Versions that the gateway has acknowledged, of tables and routes."""
+        return {n: v for kind in (EDS, RDS) if kind in self.watches
+                for n, v in self.watches[kind].held.items() if v}
+
+    def since(self) -> int:
+        return max((w.since for w in self.watches.values()), default=0)
+
+    def holds(self) -> dict[str, int]:
+        return {SHORT[kind]: len(w.held) for kind, w in self.watches.items()}
+
     def oldest(self) -> int:
         """The lowest change number not yet answered for, or a number above all."""
         low = 1 << 62
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -12,11 +12,11 @@
 from damsonpick.channel.queue import Channel
 from damsonpick.choice import Planner
 from damsonpick.engine.core import Engine
+from damsonpick.fronts.hub import Hub
 from damsonpick.roster.judge import Roster
 from damsonpick.settings import load
 from damsonpick.store.sqlite import Store
 from damsonpick.tables.published import Published, slice_unit
-from damsonpick.xds.hub import Hub
 from damsonpick.xds.resources import Catalogue
 from damsonpick.xds.session import DeltaSession
 from tests.pilots import SETTINGS, Pilot, until
--- a/tests/versions_model.py
+++ b/tests/versions_model.py
@@ -17,10 +17,11 @@
 from envoy.service.discovery.v3 import discovery_pb2
 from google.protobuf import any_pb2
 
+from damsonpick.fronts.session import Due
 from damsonpick.proxy.holdings import Asker, Bad, Holdings
 from damsonpick.xds.names import CDS, EDS, RDS
 from damsonpick.xds.resources import Resource
-from damsonpick.xds.session import DeltaSession, Due
+from damsonpick.xds.session import DeltaSession
 
 NAMES = ("slice/0", "slice/1")
 CONTENTS = 3
