A second front: SASP weight advice (RFC 4678) from the same tables

Balancers that speak SASP could not be advised. Change: `damsonpick/sasp/`: codec and framing, registrations with rights, weights from the planned tables (zero and order kept), pace of polls, sessions that stand under the common hub and channel, an anyio server, a client; `damsonpick sasp get|watch|balancers`; quiesce over SASP drains the other front by the rule that a drain of any live list source binds. Where no gateway reports, advice goes by capacity.

--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -14,6 +14,7 @@
 
 from damsonpick.cli.asking import WRONG, as_json, ask, load_settings, rows, settings_file
 from damsonpick.cli.knowledge import knowledge, listing
+from damsonpick.cli.sasp import sasp
 from damsonpick.cli.versions import versions
 
 
@@ -197,6 +198,7 @@
 main.add_command(versions)
 main.add_command(knowledge)
 main.add_command(listing)
+main.add_command(sasp)
 
 
 @main.group()
--- a/damsonpick/daemon/listing.py
+++ b/damsonpick/daemon/listing.py
@@ -25,6 +25,7 @@
 
 LOOK = 250_000_000  # ns between looks at what only time changes
 FIRST = "list"  # the name of the source in [list]
+MEMBERS = "sasp members"  # the last source: what trusted members and balancers say over SASP
 
 
 class Listing:
@@ -35,7 +36,8 @@
         self.settings, self.clock, self.roster, self.engine = settings, clock, roster, engine
         self.evidence, self.store, self.stir, self.log = evidence, store, stir, log
         self.named: dict[str, ListSource] = {FIRST: settings.list, **settings.lists}
-        self.sources = Sources(tuple(self.named), clock.now())
+        names = [*self.named, MEMBERS] if settings.sasp.feed else list(self.named)
+        self.sources = Sources(tuple(names), clock.now())
         self.trust = Trust()
         self.changed: Callable[[], None] = lambda: None
         self.said = "nothing yet"
@@ -73,6 +75,13 @@
         async for said in source.lists():
             self.heard(name, said)
 
+    def members(self, entries: list[api.ListEntry]) -> None:
+        """What is said over SASP: a quiesced member drains by the rule that a drain of any live source binds."""
+        if entries:
+            self.heard(MEMBERS, entries)
+        elif self.sources.all[MEMBERS].up:
+            self.heard(MEMBERS, ListError("no members are registered"))
+
     def heard(self, name: str, said: list[api.ListEntry] | ListError) -> None:
         """One source has given a list, or why there is none; the module hears of both."""
         now = self.clock.now()
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -23,6 +23,7 @@
 from damsonpick.fronts.hub import Hub
 from damsonpick.knowledge.disk import FolderLock
 from damsonpick.roster.judge import Roster
+from damsonpick.sasp.server import SaspServer
 from damsonpick.settings.model import PilotSettings
 from damsonpick.solver.advice import Advisor
 from damsonpick.store.sqlite import Store
@@ -75,11 +76,14 @@
         self.evidence = Evidence(tuple(s.classes), count, s.reports.every, s.reports.oldest)
         self.bell = anyio.Event()
         self.xds = XdsServer(self.hub, self.epoch, self.clock.now, self.stir, self._hear, s.reports.every, log)
+        self.sasp: SaspServer | None = None
         self.advisor = advisor(s, lambda endpoint: self.roster.places.get(endpoint, ""))
         more = {"solve": solve} if solve else {}
         self.solving = Solving(self.advisor, self.engine, self.clock, self.stir, log, **more)
         self.port = 0
         self.listing = Listing(s, self.clock, self.roster, self.engine, self.evidence, self.store, self.stir, log)
+        if s.sasp.listen is not None:
+            self.sasp = SaspServer(s, self.hub, self.engine, self.clock, self.stir, self.listing.members, log)
         self.remembering.vouched, self.remembering.answered = self.listing.vouched, self.listing.trust.answered
         self.listing.changed = self._replan
 
@@ -106,6 +110,8 @@
                 group.start_soon(self.listing.run)
                 group.start_soon(self._reports)
                 group.start_soon(self._custody)
+                if self.sasp is not None:
+                    await group.start(self.sasp.run)
                 group.start_soon(self._drive)
                 if s.knowledge.keep:
                     group.start_soon(self.remembering.run, self.engine)
@@ -137,6 +143,8 @@
                 self.hub.settle(now, session)
             self._held_back()
             self.xds.ring(stirred)
+            if self.sasp is not None:
+                self.sasp.ring(stirred)
             await anyio.sleep(GATHER)
             if self.hub.events or self.engine.inbox:
                 continue
@@ -152,7 +160,10 @@
         self.hub.stopped.clear()
 
     def _replan(self) -> None:
-        """The list has changed: tables that the solver lays follow at once."""
+        """The list has changed: tables that the solver lays follow at once, and advice on members does."""
+        if self.sasp is not None:
+            self.sasp.desk.listed += 1
+            self.sasp.changed()
         if self.settings.solved:
             self.engine.step(self.clock.now())
             self.solving.first()
@@ -198,6 +209,9 @@
             reply = self.questions.answer(self.clock.now(), request)
             self.stir()
             return reply
+        if what == "sasp":
+            return self.sasp.view() if self.sasp is not None else {
+                "error": "there is no SASP front; give [sasp] listen an address"}
         if what == "list":
             return self.listing.answer(request)
         if what == "forget":
@@ -205,13 +219,14 @@
             self.engine.forget(self.clock.now())
             self.stir()
             return {"forgotten": True}
-        return {"error": f"unknown question {what!r}; ask status, tables, weights, versions, list or forget"}
+        return {"error": f"unknown question {what!r}; ask status, tables, weights, versions, list, sasp or forget"}
 
     def _status(self) -> dict[str, Any]:
         now = self.clock.now()
         classes = self.published.classes
         return {
-            "pilot": self.settings.pilot.name, "epoch": self.epoch, "port": self.port, "published": self.published.seq,
+            "pilot": self.settings.pilot.name, "epoch": self.epoch, "port": self.port,
+            "sasp_port": self.sasp.port if self.sasp else 0, "published": self.published.seq,
             "module": "running" if self.engine.planner else "being started over", "list": self.listing.said,
             "failures": self.engine.failures, "slices": len(self.engine.owned), "unsaved": len(self.engine.unsaved),
             "levels": {name: self.published.level(None, k) for k, name in enumerate(classes)},
--- /dev/null
+++ b/damsonpick/sasp/server.py
@@ -0,0 +1,238 @@
+"""The SASP front's shell: TCP sessions on anyio. Decisions are the session's, the registry's and the desk's."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from damsonpick import interface as api
+from damsonpick.engine.clock import Clock
+from damsonpick.engine.core import Engine
+from damsonpick.fronts.hub import Hub
+from damsonpick.sasp import codec, weights
+from damsonpick.sasp.layout import LbFlag
+from damsonpick.sasp.pace import Meter, Pace
+from damsonpick.sasp.registry import Limits, Registry
+from damsonpick.sasp.session import Desk, SaspSession
+from damsonpick.settings.model import PilotSettings
+
+CHUNK = 65_536
+AT_ONCE = 4  # messages worked on between two turns of the loop: a crowd of polls holds up no push
+STUCK = 10.0  # s that a push may wait for a peer's socket; then the session is ended
+LOOK = 1.0  # s between looks at what only time changes
+SILENT = 60_000_000_000  # ns without any report after which advice goes by capacity
+HEARD = 10_000_000_000  # ns within which evidence counts as lately
+
+
+class SaspServer:
+    """Args: settings, hub, engine, clock of one pilot; stir: wakes its loop; feed: takes what members say of themselves
+    as list entries; log: structlog."""
+
+    def __init__(self, settings: PilotSettings, hub: Hub, engine: Engine, clock: Clock, stir: Callable[[], None],
+                 feed: Callable[[list[api.ListEntry]], None], log: Any) -> None:
+        self.settings, self.hub, self.engine, self.clock = settings, hub, engine, clock
+        self.stir, self.feed, self.log = stir, feed, log
+        s = settings.sasp
+        self.registry = Registry(Limits(s.groups, s.members), self._covers, self._rights)
+        self.desk = Desk(engine.published, self.registry, Pace(random.Random(settings.pilot.seed)), self._heat,
+                         self._known, lambda: hub.channel.waiting() / hub.channel.limit, self._blind)
+        self.streams: dict[SaspSession, anyio.Event] = {}
+        self.addresses: dict[str, int] = {}
+        self.turn = anyio.Semaphore(AT_ONCE)
+        self.port = 0
+        self.fed: dict[str, bool] = {}
+        self.stamp = (0, 0)
+
+    # -- what the desk asks
+
+    def _covers(self, name: bytes) -> str | None:
+        text = name.decode("utf-8", "replace")
+        named = self.settings.sasp_groups.get(text)
+        if named is not None:
+            return named.covers
+        kind, _, number = text.partition("/")
+        if kind == "slice" and number.isdigit() and int(number) < self.settings.table_count():
+            return f"slices {int(number)}"
+        return "fleet" if self.settings.sasp.unmapped == "fleet" else None
+
+    def _rights(self, lb: bytes) -> str:
+        named = self.settings.sasp_balancers.get(lb.decode("utf-8", "replace"))
+        return named.may if named is not None else self.settings.sasp.unknown
+
+    def _zone(self, lb: bytes) -> str:
+        named = self.settings.sasp_balancers.get(lb.decode("utf-8", "replace"))
+        return named.zone if named is not None and named.zone else self.settings.pilot.zone
+
+    def _heat(self, number: int) -> float:
+        piece = self.engine.planner.slices.get(number) if self.engine.planner else None
+        return piece.heat if piece is not None else 0.01
+
+    def _blind(self) -> dict[str, float]:
+        planner = self.engine.planner
+        if planner is None or (planner.report_at and planner.now - planner.report_at < SILENT):
+            return {}
+        return {n: planner.capacity(ep) for n, ep in planner.endpoints.items() if not planner.barred(n)}
+
+    def _known(self, name: str) -> weights.Known:
+        entry = self.engine.roster.entries.get(name)
+        ep = self.engine.planner.endpoints.get(name) if self.engine.planner else None
+        lately = ep is not None and bool(ep.heard) and self.clock.now() - ep.heard < HEARD
+        return weights.Known(entry is not None, entry is not None and entry.state == "in_service", lately)
+
+    # -- life
+
+    async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
+        host, _, port = self.settings.sasp.listen.rpartition(":")
+        listener = await anyio.create_tcp_listener(local_host=host.strip("[]"), local_port=int(port))
+        self.port = listener.extra(SocketAttribute.local_port)
+        self.log.info("sasp_open", port=self.port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._look)
+            task_status.started()
+            await listener.serve(self._serve)
+
+    async def _look(self) -> None:
+        """Registrations that expire, and advice that moves without a table: heat, evidence, the list."""
+        while True:
+            await anyio.sleep(LOOK / self.clock.rate)
+            for lb in self.registry.expire(self.clock.now()):
+                self.log.info("sasp_forgotten", balancer=repr(lb))
+            self.desk.listed += 1
+            self.changed()
+
+    def changed(self) -> None:
+        """Something beside the tables may have changed advice: sessions that take pushes look."""
+        self._feed()
+        for session in self.streams:
+            session.review()
+        self.ring(list(self.streams))
+
+    def _feed(self) -> None:
+        if not self.settings.sasp.feed or self.registry.stamp == self.stamp[0]:
+            return
+        self.stamp = (self.registry.stamp, 0)
+        said = self.registry.endpoints()
+        if said == self.fed:
+            return
+        self.fed = said
+        known = self.engine.roster
+        self.feed([api.ListEntry(n, known.places.get(n, self.settings.pilot.zone),
+                                 "terminating" if quiesced else "in_service",
+                                 known.entries[n].weight if n in known.entries else 1.0,
+                                 known.entries[n].started if n in known.entries else 0)
+                   for n, quiesced in said.items()])
+
+    def ring(self, sessions: list[Any]) -> None:
+        """Wake the writers of these sessions."""
+        for session in sessions:
+            if session in self.streams:
+                self.streams[session].set()
+
+    # -- one connection
+
+    async def _serve(self, stream: SocketStream) -> None:
+        async with stream:
+            address = str(stream.extra(SocketAttribute.remote_address)[0])
+            if self.addresses.get(address, 0) >= self.settings.sasp.sessions:
+                self.log.warning("sasp_refused", address=address, why="too many sessions from one address",
+                                 limit=self.settings.sasp.sessions, remedy="[sasp] sessions")
+                return
+            self.addresses[address] = self.addresses.get(address, 0) + 1
+            session = SaspSession(self.desk, self._zone, Meter(self.settings.sasp.messages))
+            lock = anyio.Lock()  # replies and pushes share the stream
+            self.streams[session] = anyio.Event()
+            why = "the peer left"
+            try:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._push, stream, session, lock)
+                    why = await self._read(stream, session, lock)
+                    group.cancel_scope.cancel()
+            except* (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError) as errors:
+                why = "it took no push in time" if errors.subgroup(TimeoutError) else "the stream broke"
+            finally:
+                self._left(session, address, why)
+
+    def _left(self, session: SaspSession, address: str, why: str) -> None:
+        del self.streams[session]
+        self.addresses[address] -= 1
+        if not self.addresses[address]:
+            del self.addresses[address]
+        self.registry.leave(self.clock.now(), session)
+        if session in self.hub.by:
+            self.log.info("balancer_left", balancer=session.node, why=why)
+        self.hub.leave(session)
+        self.stir()
+
+    async def _read(self, stream: SocketStream, session: SaspSession, lock: anyio.Lock) -> str:
+        """Until the peer leaves or its stream cannot be followed; returns why."""
+        splitter = codec.Splitter()
+        while True:
+            try:
+                data = await stream.receive(CHUNK)
+            except anyio.EndOfStream:
+                return "the peer left"
+            try:
+                for frame in splitter.feed(data):
+                    async with self.turn:
+                        reply = self._handle(session, frame)
+                        await anyio.lowlevel.checkpoint()
+                    async with lock:
+                        await stream.send(reply)
+                    if (wait := session.meter.wait(self.clock.now())) > 0:
+                        await anyio.sleep(wait / self.clock.rate)
+            except codec.FrameError as error:
+                self.log.warning("sasp_broken", balancer=session.node, why=str(error))
+                return str(error)
+
+    def _handle(self, session: SaspSession, frame: bytes) -> bytes:
+        now, stamp, joined = self.clock.now(), self.registry.stamp, session.joined
+        reply = session.receive(now, frame)
+        if session.rejections:
+            self.log.warning("sasp_not_understood", balancer=session.node, why=session.rejections.pop("message"))
+        if session.joined and not joined:
+            self._joined(session)
+        if self.registry.stamp != stamp:
+            self.changed()
+        if session.pending is not None:
+            self.ring([session])
+        return reply
+
+    def _joined(self, session: SaspSession) -> None:
+        member = self.hub.join(self.clock.now(), session)
+        self.log.info("balancer_joined", balancer=session.node, number=member.number, zone=session.zone,
+                      pushes=bool(session.flags & LbFlag.PUSH), trusts=bool(session.flags & LbFlag.TRUST),
+                      note="SASP acknowledges nothing: a drain binds it at its next poll or push")
+        self.stir()
+
+    async def _push(self, stream: SocketStream, session: SaspSession, lock: anyio.Lock) -> None:
+        while True:
+            await self.streams[session].wait()
+            self.streams[session] = anyio.Event()
+            while (push := session.compose(self.clock.now())) is not None:
+                with anyio.fail_after(STUCK):
+                    async with lock:
+                        await stream.send(push)
+                session.written()
+            self.hub.settle(self.clock.now(), session)
+            if self.hub.review(session) or self.hub.events:
+                self.stir()
+
+    # -- questions
+
+    def view(self) -> dict[str, Any]:
+        """For operators."""
+        now = self.clock.now()
+        return {"port": self.port, "balancers": [
+            {"balancer": lb.decode("utf-8", "backslashreplace"), "health": b.health, "sessions": len(b.sessions),
+             "pushes": any(f & LbFlag.PUSH for f in b.sessions.values()), "trusted": self.registry.trusts(lb),
+             "groups": {g.key.name.decode("utf-8", "backslashreplace"): {
+                 "covers": g.covers, "members": len(g.members),
+                 "quiesced": [m.endpoint for m, e in g.members.items() if e.quiesced]} for g in b.groups.values()},
+             "seen": max((s.seen for s in b.sessions), default=None),
+             "last_told_s": round((now - max(s.since() for s in b.sessions)) / 1e9, 1)
+             if any(s.since() for s in b.sessions) else None}
+            for lb, b in self.registry.balancers.items()]}
--- /dev/null
+++ b/damsonpick/sasp/session.py
@@ -0,0 +1,274 @@
+"""One SASP connection as a state machine, and the desk that all of them share. Sans I/O.
+
+SASP has no acknowledgement. What stands in its place: a poll tells a balancer all there is, so it has seen what was
+published when it was answered; a push counts as seen once the peer's socket took it. Until then its mark is open, and
+the channel's books with it. A balancer that neither polls nor takes pushes is treated as holding what it was last told.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from damsonpick.fronts.session import Due
+from damsonpick.sasp import codec, weights
+from damsonpick.sasp import layout as sasp
+from damsonpick.sasp.layout import Code, Kind, LbFlag, Sender
+from damsonpick.sasp.pace import Meter, Pace
+from damsonpick.sasp.registry import GroupOf, Registry
+from damsonpick.sasp.weights import Advice, Known
+from damsonpick.settings.units import numbers
+from damsonpick.tables.published import FLEET, Published, slice_unit
+
+SECOND = 1_000_000_000
+FRESH = SECOND  # ns for which shares are kept while no table changes: heat moves slowly
+NEVER = 1 << 62
+REPLY = {Kind.REGISTER: Kind.REGISTER_REPLY, Kind.DEREGISTER: Kind.DEREGISTER_REPLY,
+         Kind.SET_LB_STATE: Kind.SET_LB_STATE_REPLY, Kind.SET_MEMBER_STATE: Kind.SET_MEMBER_STATE_REPLY}
+
+
+class Desk:
+    """What all sessions share: registrations, advice, texts made once.
+
+    Args:
+        published: the state.
+        registry, pace: see there.
+        heat: of a slice, requests a second.
+        known: what is known of an endpoint.
+        tables_of: the tables that a class or slices cover.
+        filled: part of the channel's limit that waits.
+        blind: capacities by endpoint while no gateway reports anything: rounds then stand still, and a server that
+            returns would never get a line; empty as soon as one does.
+    """
+
+    def __init__(self, published: Published, registry: Registry, pace: Pace, heat: Callable[[int], float],
+                 known: Callable[[str], Known], filled: Callable[[], float],
+                 blind: Callable[[], dict[str, float]] = dict) -> None:
+        self.published, self.registry, self.pace, self.blind = published, registry, pace, blind
+        self.heat, self.known, self.filled = heat, known, filled
+        self.kept: dict[str, tuple[int, int, dict[str, float]]] = {}  # covers: (seq, ns, shares)
+        self.texts: dict[tuple[sasp.Member, int, Advice], bytes] = {}
+        self.made: dict[int, tuple[tuple, dict[str, Advice], bytes]] = {}  # group: (stamps, advice, text)
+        self.units: dict[str, dict[str, None]] = {}  # by what is covered
+        self.listed = 0  # grows when the list changes
+
+    def slices(self, covers: str) -> list[int]:
+        """Tables that a group covers."""
+        kind, _, rest = covers.partition(" ")
+        if kind == "slices":
+            return numbers(covers)
+        if kind == "class":
+            count = len(self.published.classes)
+            return list(range(self.published.classes.index(rest), self.published.slices, count))
+        return list(range(self.published.slices))
+
+    def shares(self, now: int, covers: str) -> tuple[int, dict[str, float]]:
+        """Shares over what is covered, and a number that changes with them."""
+        seq, at, found = self.kept.get(covers, (-1, 0, {}))
+        if seq != self.published.seq or now - at >= FRESH:
+            if seq not in (-1, self.published.seq):
+                self.pace.change(now)
+            capacities = self.blind() if covers == "fleet" else {}  # a slice stays where its table has it
+            found = weights.by_capacity(capacities, self.published.withdrawn) or weights.shares(
+                self.published, self.slices(covers), self.heat)
+            at = now
+            self.kept[covers] = (self.published.seq, at, found)
+        return at, found
+
+    def advice(self, now: int, group: GroupOf) -> tuple[dict[str, Advice], bytes]:
+        """Advice on a group, and its text on the wire."""
+        at, share = self.shares(now, group.covers)
+        stamps = (at, group.stamp, self.listed, self.published.seq)
+        made = self.made.get(id(group))
+        if made is not None and made[0] == stamps:
+            return made[1], made[2]
+        entries = group.members
+        found = weights.advise(
+            share, dict.fromkeys(m.endpoint for m in entries), self.known, self.published.withdrawn,
+            [m.endpoint for m, e in entries.items() if e.quiesced], [m.endpoint for m, e in entries.items() if e.own])
+        rows = [self._row(m, e.state, found[m.endpoint]) for m, e in entries.items()]
+        text = codec.write_weights_of(group.key, rows)
+        if len(self.made) > 10_000:
+            self.made.clear()
+        self.made[id(group)] = (stamps, found, text)
+        return found, text
+
+    def _row(self, member: sasp.Member, state: int, advice: Advice) -> bytes:
+        key = (member, state, advice)
+        if key not in self.texts:
+            if len(self.texts) > 100_000:
+                self.texts.clear()
+            self.texts[key] = codec.write_weight(sasp.Weight(member, state, advice.flags, advice.weight))
+        return self.texts[key]
+
+
+class SaspSession:
+    """One connection. Implements `fronts.session.Session` once its balancer has made itself known."""
+
+    variant, roots = "sasp", False
+
+    def __init__(self, desk: Desk, zone_of: Callable[[bytes], str], meter: Meter) -> None:
+        self.desk, self.zone_of, self.meter = desk, zone_of, meter
+        self.lb = b""
+        self.node, self.zone, self.fresh = "", "", True
+        self.flags = LbFlag(0)
+        self.void: list[tuple[int, int]] = []
+        self.rejections: dict[str, str] = {}
+        self.refused: list[tuple[str, str]] = []
+        self.told: dict[bytes, dict[str, Advice]] = {}  # by group: what its peer was last told
+        self.polled = self.pushed = self.seen = 0  # ns, ns, change number
+        self.interval = 0  # s that it was last asked to wait
+        self.pending: Due | None = None  # a change that is to be pushed
+        self.writing = 0  # lowest change number of a push that the socket has not taken; 0: none
+        self.number = 0  # of the last message of ours
+
+    # -- requests
+
+    def receive(self, now: int, data: bytes) -> bytes:
+        """The reply to one whole frame."""
+        try:
+            message = codec.decode(data)
+        except codec.NotUnderstood as error:
+            kind = REPLY.get(error.kind, Kind.GET_WEIGHTS_REPLY if error.kind == Kind.GET_WEIGHTS
+                             else Kind.SET_LB_STATE_REPLY)
+            self.rejections["message"] = str(error)
+            if kind is Kind.GET_WEIGHTS_REPLY:
+                return codec.encode(sasp.Message(error.number, sasp.WeightsReply(Code.NOT_UNDERSTOOD, 0, ())))
+            return codec.encode(sasp.Message(error.number, sasp.Reply(kind, Code.NOT_UNDERSTOOD)))
+        return self._answer(now, message)
+
+    def _answer(self, now: int, message: sasp.Message) -> bytes:
+        registry = self.desk.registry
+        match message.body:
+            case sasp.GetWeights(groups):
+                return self._weights(now, message.number, groups)
+            case sasp.SetLbState(lb, health, flags):
+                code = registry.set_lb(self, lb, health, flags) if lb == self.lb or not self.lb else Code.UNKNOWN_LB
+                if code == Code.OK:
+                    self._known(lb, flags)
+                kind = Kind.SET_LB_STATE
+            case sasp.Register(sender, groups):
+                code, kind = registry.register(self, sender, groups), Kind.REGISTER
+                if code == Code.OK and sender & Sender.BALANCER and groups:
+                    self._known(groups[0].group.lb, self.flags)
+                    self._later()
+            case sasp.Deregister(sender, _, groups):
+                code, kind = registry.deregister(self, sender, groups), Kind.DEREGISTER
+            case sasp.SetMemberState(sender, groups):
+                code, kind = registry.set_states(sender, groups), Kind.SET_MEMBER_STATE
+            case _:  # a reply or a push: only we send those
+                code, kind = Code.NOT_UNDERSTOOD, Kind.SET_LB_STATE
+        return codec.encode(sasp.Message(message.number, sasp.Reply(REPLY[kind], code)))
+
+    def _known(self, lb: bytes, flags: LbFlag) -> None:
+        if not self.lb:
+            self.lb, self.node = lb, "sasp:" + lb.decode("utf-8", "backslashreplace")
+            self.zone = self.zone_of(lb)
+        self.flags = flags
+        if flags & LbFlag.PUSH:
+            self._later()
+
+    def _later(self) -> None:
+        """What it has not been told yet is to be pushed."""
+        if self.flags & LbFlag.PUSH and self.pending is None:
+            self.pending = Due(0, 0, 0)
+
+    def _weights(self, now: int, number: int, groups: tuple[sasp.Group, ...]) -> bytes:
+        """A poll. With NO_CHANGE, groups that say what they said are left out."""
+        if not groups and self.lb:
+            mine = self.desk.registry.balancers.get(self.lb)
+            groups = tuple(g.key for g in mine.groups.values()) if mine else ()
+        code, texts = Code.OK, []
+        if len(dict.fromkeys(groups)) != len(groups):
+            code, groups = Code.DUPLICATE_GROUP, ()
+        for key in groups:
+            found = self.desk.registry.find(key)
+            if isinstance(found, Code):
+                code, texts = found, []
+                break
+            advice, text = self.desk.advice(now, found)
+            if self.flags & LbFlag.NO_CHANGE and self.told.get(key.name) == advice:
+                continue
+            self.told[key.name] = advice
+            texts.append(text)
+        if code == Code.OK:
+            self.polled, self.seen = now, self.desk.published.seq
+        desk = self.desk
+        self.interval = desk.pace.interval(now, sum(len(b.sessions) for b in desk.registry.balancers.values()),
+                                           desk.filled())
+        body = bytes((code,)) + self.interval.to_bytes(2, "big") + len(texts).to_bytes(2, "big") + b"".join(texts)
+        return codec.frame(number, Kind.GET_WEIGHTS_REPLY, body)
+
+    # -- pushes
+
+    def compose(self, now: int) -> bytes | None:
+        """A push, or None: nothing it was not told, beyond noise."""
+        if self.pending is None or self.writing:
+            return None
+        due, self.pending = self.pending, None
+        balancer = self.desk.registry.balancers.get(self.lb)
+        texts = []
+        for group in balancer.groups.values() if balancer else ():
+            advice, text = self.desk.advice(now, group)
+            if weights.matters(self.told.get(group.key.name, {}), advice):
+                self.told[group.key.name] = advice
+                texts.append(text)
+        for name in [n for n in self.told if balancer is None or n not in balancer.groups]:
+            del self.told[name]
+        self.seen = self.desk.published.seq
+        if not texts:
+            return None
+        self.pushed, self.writing = now, due.first or 1
+        self.number += 1
+        body = len(texts).to_bytes(2, "big") + b"".join(texts)
+        return codec.frame(self.number, Kind.SEND_WEIGHTS, body)
+
+    def written(self) -> None:
+        """The socket took the push."""
+        self.writing = 0
+
+    def review(self) -> None:
+        """The list or a quiesce changed: what follows is pushed as any change is."""
+        self._later()
+
+    # -- fronts.session.Session
+
+    @property
+    def joined(self) -> bool:
+        return bool(self.lb)
+
+    def wants(self, unit: str) -> bool:
+        """Pushes alone go through the channel; a poll costs no line, as the balancer pays for it by asking."""
+        if not self.flags & LbFlag.PUSH or self.lb not in self.desk.registry.balancers:
+            return False
+        if unit == FLEET:
+            return True
+        return any(unit in self._units(g.covers) for g in self.desk.registry.balancers[self.lb].groups.values())
+
+    def _units(self, covers: str) -> Mapping[str, None]:
+        kept = self.desk.units
+        if covers not in kept:
+            kept[covers] = dict.fromkeys(slice_unit(n) for n in self.desk.slices(covers))
+        return kept[covers]
+
+    def change(self, units: Iterable[str], due: Due) -> None:
+        first = min(due.first, self.pending.first) if self.pending and self.pending.first else due.first
+        self.pending = Due(first, due.ordered, due.lines)
+
+    def ready(self) -> bool:
+        return not self.writing
+
+    def oldest(self) -> int:
+        firsts = [n for n in (self.writing, self.pending.first if self.pending else 0) if n]
+        return min(firsts, default=NEVER)
+
+    def unanswered(self) -> int:
+        return int(bool(self.writing))
+
+    def held(self) -> dict[str, str]:
+        return {}
+
+    def since(self) -> int:
+        return max(self.polled, self.pushed)
+
+    def holds(self) -> dict[str, int]:
+        return {"groups": len(self.told)}
--- a/damsonpick/settings/load.py
+++ b/damsonpick/settings/load.py
@@ -9,9 +9,14 @@
 from pydantic import ValidationError
 
 from damsonpick.settings import model
+from damsonpick.settings.units import numbers
 
 SECTIONS = ("pilot", "listen", "tables", "rules", "channel", "reports", "list", "solver", "versions",
-            "knowledge", "log")
+            "knowledge", "sasp", "log")
+# sections that have a name of their own, by how they begin: where their contents go
+NAMED = {"class": "classes", "list": "lists", "sasp group": "sasp_groups", "sasp balancer": "sasp_balancers"}
+MODELS = {"class": model.RequestClass, "list": model.ListSource, "sasp group": model.SaspGroup,
+          "sasp balancer": model.SaspBalancer}
 
 
 class Problem(NamedTuple):
@@ -58,17 +63,15 @@
     except SettingsError as error:
         return None, error.problems
     problems: list[Problem] = []
-    raw: dict[str, object] = {"classes": {}, "lists": {}}
+    raw: dict[str, object] = {place: {} for place in NAMED.values()}
     for name in parser.sections():
         if name in SECTIONS:
             raw[name] = dict(parser[name])
-        elif name.startswith("class ") and name[6:].strip():
-            raw["classes"][name[6:].strip()] = dict(parser[name])
-        elif name.startswith("list ") and name[5:].strip():
-            raw["lists"][name[5:].strip()] = dict(parser[name])
+        elif (kind := _named(name)) is not None:
+            raw[NAMED[kind]][name[len(kind):].strip()] = dict(parser[name])
         else:
             problems.append(Problem(name, "", "", "is no section; the sections are "
-                                    + ", ".join(f"[{s}]" for s in SECTIONS) + ", [list NAME] and [class NAME]"))
+                                    + ", ".join([f"[{s}]" for s in SECTIONS] + [f"[{k} NAME]" for k in NAMED])))
     if not raw["classes"]:
         problems.append(Problem("class NAME", "", "", "is missing; add a section for each class of request"))
     try:
@@ -95,10 +98,9 @@
 
 def _problem(error: dict, raw: dict) -> Problem:
     place = [str(part) for part in error["loc"]]
-    if place[0] == "classes":
-        place = [f"class {place[1]}", *place[2:]] if len(place) > 1 else ["class NAME"]
-    if place[0] == "lists":
-        place = [f"list {place[1]}", *place[2:]]
+    for kind, where in NAMED.items():
+        if place[0] == where:
+            place = [f"{kind} {place[1]}", *place[2:]] if len(place) > 1 else [f"{kind} NAME"]
     section, key = place[0], ".".join(place[1:])
     value = error.get("input")
     kind = error["type"]
@@ -114,11 +116,14 @@
     return Problem(section, key, "" if isinstance(value, dict) else str(value), text)
 
 
+def _named(section: str) -> str | None:
+    """How a section with a name of its own begins; None: it is none."""
+    return next((kind for kind in NAMED if section.startswith(f"{kind} ") and section[len(kind):].strip()), None)
+
+
 def _keys(section: str) -> list[str]:
-    if section.startswith("class "):
-        return list(model.RequestClass.model_fields)
-    if section.startswith("list "):
-        return list(model.ListSource.model_fields)
+    if (kind := _named(section)) is not None:
+        return list(MODELS[kind].model_fields)
     field = model.PilotSettings.model_fields.get(section)
     return list(field.annotation.model_fields) if field else []
 
@@ -143,6 +148,17 @@
         if s.solved and not kind.work:
             found.append(Problem(f"class {name}", "work", "", "is missing; the solver needs the mean core time "
                                  "of a request, such as 300 ms"))
+    for name, group in s.sasp_groups.items():
+        kind, _, rest = group.covers.partition(" ")
+        if kind == "slices" and (high := max(numbers(group.covers))) >= s.table_count():
+            found.append(Problem(f"sasp group {name}", "covers", group.covers,
+                                 f"names slice {high}, there are {s.table_count()} from 0"))
+        if kind == "class" and (s.tables.slices or rest not in s.classes):
+            found.append(Problem(f"sasp group {name}", "covers", group.covers, "is a class that there is not, or there "
+                                 "are slices, which all classes share; use fleet or slices"))
+    for name, balancer in s.sasp_balancers.items():
+        if balancer.zone and balancer.zone not in s.pilot.zones:
+            found.append(Problem(f"sasp balancer {name}", "zone", balancer.zone, "is not among the zones"))
     for one, other, _ in s.solver.pairs:
         for zone in (one, other):
             if zone not in s.pilot.zones:
--- a/damsonpick/settings/model.py
+++ b/damsonpick/settings/model.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from damsonpick import interface as api
-from damsonpick.settings.units import Address, Duration, Names, Pairs
+from damsonpick.settings.units import Address, Covers, Duration, Names, Pairs
 
 
 class Section(BaseModel):
@@ -117,6 +117,32 @@
     every: Duration = 2_000_000_000  # between snapshots
 
 
+class SaspFront(Section):
+    """[sasp]: the front for balancers that speak RFC 4678."""
+
+    listen: Address | None = None  # no address: no such front
+    unknown: Literal["refuse", "read", "register", "state"] = "register"  # rights of balancers that are not named
+    unmapped: Literal["fleet", "refuse"] = "fleet"  # what a group covers that is neither named nor called slice/N
+    sessions: int = Field(100, ge=1)  # from one address
+    groups: int = Field(2000, ge=1)  # of one balancer
+    members: int = Field(1000, ge=1)  # of one group
+    messages: float = Field(50, gt=0)  # a second, of one session
+    feed: bool = False  # quiesced members drain for all fronts, and the members serve as the last list source
+
+
+class SaspGroup(Section):
+    """[sasp group NAME]: what a group stands for."""
+
+    covers: Covers = "fleet"
+
+
+class SaspBalancer(Section):
+    """[sasp balancer UID]: what one balancer may do; each right includes those before it."""
+
+    may: Literal["refuse", "read", "register", "state"] = "register"
+    zone: str = ""  # where it stands; empty: the pilot's
+
+
 class Logs(Section):
     """[log]: structured logs on standard error."""
 
@@ -151,6 +177,9 @@
     solver: Solver = Solver()
     versions: Versions = Versions()
     knowledge: Knowledge = Knowledge()
+    sasp: SaspFront = SaspFront()
+    sasp_groups: dict[str, SaspGroup] = {}
+    sasp_balancers: dict[str, SaspBalancer] = {}
     log: Logs = Logs()
     classes: dict[str, RequestClass]
 
--- a/damsonpick/settings/units.py
+++ b/damsonpick/settings/units.py
@@ -64,3 +64,30 @@
 Address = Annotated[str, BeforeValidator(address)]
 Names = Annotated[tuple[str, ...], BeforeValidator(names)]
 Pairs = Annotated[tuple[tuple[str, str, float], ...], BeforeValidator(pairs)]
+
+
+def covers(text: object) -> str:
+    """'fleet', 'class NAME' or 'slices 0-9, 12'."""
+    said = " ".join(str(text).split())
+    kind, _, rest = said.partition(" ")
+    if said == "fleet" or (kind == "class" and rest):
+        return said
+    if kind == "slices":
+        for part in rest.split(","):
+            low, _, high = part.strip().partition("-")
+            if not low.isdigit() or (high and (not high.isdigit() or int(high) < int(low))):
+                raise ValueError(f"names {part.strip()!r}; write slices such as 0-9, 12")
+        return said
+    raise ValueError("is none of: fleet, class NAME, slices 0-9, 12")
+
+
+def numbers(said: str) -> list[int]:
+    """The slices of a text that `covers` has checked, such as 'slices 0-9, 12'."""
+    found: list[int] = []
+    for part in said.partition(" ")[2].split(","):
+        low, _, high = part.strip().partition("-")
+        found += range(int(low), int(high or low) + 1)
+    return found
+
+
+Covers = Annotated[str, BeforeValidator(covers)]
--- /dev/null
+++ b/tests/test_sasp_pilot.py
@@ -0,0 +1,402 @@
+"""The SASP front through real sockets: a pilot's process, raw bytes and the project's own balancer client."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import anyio
+import pytest
+
+from damsonpick.sasp import codec
+from damsonpick.sasp.client import connect
+from damsonpick.sasp.layout import (
+    Code,
+    Deregister,
+    GetWeights,
+    Group,
+    LbFlag,
+    MemberFlag,
+    MembersOf,
+    MemberState,
+    Message,
+    Register,
+    Sender,
+    SetLbState,
+    SetMemberState,
+    StatesOf,
+    WeightFlag,
+    member,
+)
+from tests.gates import soon, weights, world
+from tests.pilots import Pilot, name, until
+
+pytestmark = pytest.mark.anyio
+FRONT = """
+[sasp]
+listen = 127.0.0.1:0
+messages = 2000
+feed = yes
+unknown = state
+[sasp group some]
+covers = slices 0-2
+[sasp balancer reader]
+may = read
+[sasp balancer stranger]
+may = refuse
+[sasp balancer modest]
+may = register
+"""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Front:
+    """A pilot with the SASP front."""
+
+    def __init__(self, pilot):
+        self.pilot = pilot
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.pilot.log('sasp_open')[-1]['port']}"
+
+
+@contextlib.asynccontextmanager
+async def front(folder, servers=3, gates=1, more=FRONT, **options):
+    """A pilot, gateways on its other front, and the address of this one."""
+    made = Pilot.start
+
+    def start(self):
+        text = self.file.read_text()
+        if "[sasp]" not in text:
+            self.file.write_text(text + more)
+        return made(self)
+
+    Pilot.start = start
+    try:
+        async with world(folder, gates=gates, servers=servers, **options) as (pilot, gateways):
+            await true(lambda: all(len(weights(g)) == 6 and all(weights(g).values()) for g in gateways))
+            yield Front(pilot), gateways
+    finally:
+        Pilot.start = made
+
+
+async def true(what):
+    async def look():
+        return what()
+
+    return await soon(look)
+
+
+ALL = [member(name(k)) for k in (1, 2, 3)]
+
+
+def told(reply):
+    return {w.member.endpoint: w for g in reply.groups for w in g.weights}
+
+
+async def settled(client, what, *names):
+    """The first poll that shows what is expected."""
+    async def look():
+        reply = await client.weights(*names)
+        return reply if not reply.code and what(told(reply)) else None
+
+    return await soon(look)
+
+
+async def test_weights_follow_the_tables_and_a_drain_means_the_same_on_both_fronts(tmp_path):
+    async with front(tmp_path) as (made, gates), connect(made.address, b"lb1") as client:
+        assert await client.hello() == Code.OK and await client.register(b"web", ALL) == Code.OK
+        reply = await client.weights(b"web")
+        assert reply.code == Code.OK and reply.interval >= 1
+        assert all(w.weight > 0 and w.flags & WeightFlag.CONTACT for w in told(reply).values())
+        made.pilot.list(s1="in_service", s2="in_service", s3="terminating")
+        await true(lambda: all(name(3) not in g.holdings.open_lines(n) for g in gates for n in weights(g)))
+        after = told(await client.weights(b"web"))
+        assert after[name(3)].weight == 0 and after[name(3)].flags & WeightFlag.QUIESCE
+        assert after[name(1)].weight > 0 and after[name(2)].weight > 0
+        assert await client.register(b"slice/0", ALL) == Code.OK
+        lines = weights(gates[0])["slice/0"]
+        assert {n for n, w in told(await client.weights(b"slice/0")).items() if w.weight} == set(lines) - {name(3)}
+
+
+async def test_a_drain_is_pushed_within_the_grace_and_noise_is_not(tmp_path):
+    pushes = []
+    async with front(tmp_path) as (made, _), connect(made.address, b"lb1", pushes.append) as client:
+        assert await client.hello(LbFlag.PUSH) == Code.OK and await client.register(b"web", ALL) == Code.OK
+        await true(lambda: pushes)
+        count = len(pushes)
+        await anyio.sleep(1.5)  # looks at heat and evidence go by
+        assert len(pushes) == count
+        made.pilot.list(s1="in_service", s2="terminating", s3="in_service")
+        with anyio.fail_after(2.2):
+            while not any(told(p).get(name(2)) and told(p)[name(2)].weight == 0 for p in pushes[count:]):
+                await anyio.sleep(0.01)
+
+
+async def test_quiesce_over_sasp_drains_the_gateways_of_the_other_front_and_races_with_the_list(tmp_path):
+    def states(flag):
+        return SetMemberState(Sender.BALANCER, (StatesOf(Group(b"lb1", b"web"), (MemberState(ALL[1], 9, flag),)),))
+
+    async with front(tmp_path) as (made, gates), connect(made.address, b"lb1") as client:
+        await client.hello()
+        await client.register(b"web", ALL)
+
+        def reached():
+            return any(name(2) in g.holdings.open_lines(n) for g in gates for n in weights(g))
+
+        assert reached()
+        assert (await client.ask(states(MemberFlag.QUIESCE))).code == Code.OK
+        with anyio.fail_after(2.2):
+            while reached():
+                await anyio.sleep(0.02)
+        reply = told(await client.weights(b"web"))
+        assert reply[name(2)].weight == 0 and reply[name(2)].state == 9
+        for k in range(10):  # the list says something new each time a quiesce is set or lifted
+            made.pilot.list(s1="in_service", s2="in_service", s3="terminating" if k % 2 else "in_service")
+            await client.ask(states(MemberFlag(k % 2)))
+        await client.ask(states(MemberFlag.QUIESCE))
+        made.pilot.list(s1="in_service", s2="in_service", s3="in_service")
+        await settled(client, lambda w: w[name(2)].weight == 0 and not w[name(3)].flags & WeightFlag.QUIESCE, b"web")
+        assert not reached() and all(g.holdings.open_lines(n) for g in gates for n in weights(g))
+        await client.ask(states(MemberFlag(0)))
+        await settled(client, lambda w: not w[name(2)].flags & WeightFlag.QUIESCE, b"web")
+
+
+def raw(address):
+    host, _, port = address.rpartition(":")
+    made = socket.create_connection((host, int(port)), timeout=10)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return made
+
+
+def read(sock, count=1):
+    splitter, got = codec.Splitter(), []
+    while len(got) < count:
+        data = sock.recv(65536)
+        if not data:
+            break
+        got += [codec.decode(f) for f in splitter.feed(data)]
+    return got
+
+
+HELLO = codec.encode(Message(1, SetLbState(b"raw", 1, LbFlag(0))))
+
+
+async def test_requests_split_at_every_byte_are_answered_alike(tmp_path):
+    async with front(tmp_path) as (made, _):
+        register = codec.encode(Message(2, Register(Sender.BALANCER, (MembersOf(Group(b"raw", b"g"), tuple(ALL)),))))
+        poll = codec.encode(Message(3, GetWeights((Group(b"raw", b"g"),))))
+
+        def talk():
+            with raw(made.address) as sock:
+                sock.sendall(HELLO + register)
+                assert [m.body.code for m in read(sock, 2)] == [0, 0]
+                for cut in range(1, len(poll)):
+                    sock.sendall(poll[:cut])
+                    sock.sendall(poll[cut:])
+                    assert read(sock)[0].number == 3
+                for byte in poll * 3:
+                    sock.sendall(bytes((byte,)))
+                assert len(read(sock, 3)) == 3
+
+        await anyio.to_thread.run_sync(talk)
+
+
+@pytest.mark.parametrize("length", [0, 5, 2**32 - 1, 2**31, 5_000_000])
+async def test_a_length_that_lies_ends_that_session_alone(tmp_path, length):
+    async with front(tmp_path) as (made, _), connect(made.address, b"lb1") as client:
+        await client.hello()
+
+        def talk():
+            with raw(made.address) as sock:
+                bad = bytearray(HELLO)
+                bad[5:9] = length.to_bytes(4, "big")
+                sock.sendall(bytes(bad))
+                return sock.recv(100)
+
+        assert await anyio.to_thread.run_sync(talk) == b""
+        await true(lambda: any("bytes" in e["why"] for e in made.pilot.log("sasp_broken")))
+        assert await client.register(b"web", ALL) == Code.OK
+
+
+async def test_unknown_types_and_versions_are_answered_and_the_session_goes_on(tmp_path):
+    async with front(tmp_path) as (made, _):
+        def talk():
+            with raw(made.address) as sock:
+                for place, value in ((13, 0x66), (4, 9)):
+                    bad = bytearray(HELLO)
+                    bad[place] = value
+                    sock.sendall(bytes(bad))
+                    assert read(sock)[0].body.code == Code.NOT_UNDERSTOOD
+                sock.sendall(HELLO)
+                assert read(sock)[0].body.code == Code.OK
+
+        await anyio.to_thread.run_sync(talk)
+        assert len(made.pilot.log("sasp_not_understood")) == 2
+
+
+async def test_rights_are_refused_with_their_code(tmp_path):
+    async with front(tmp_path) as (made, _):
+        quiesce = MemberState(ALL[0], 0, MemberFlag.QUIESCE)
+        for lb, codes in ((b"stranger", (0x11, 0x11, 0x11)), (b"reader", (0, 0x11, 0x11)), (b"modest", (0, 0, 0x11)),
+                          (b"anybody", (0, 0, 0))):
+            async with connect(made.address, lb) as client:
+                state = SetMemberState(Sender.BALANCER, (StatesOf(Group(lb, b"web"), (quiesce,)),))
+                got = (await client.hello(), await client.register(b"web", ALL), (await client.ask(state)).code)
+                assert got == codes, lb
+
+
+async def test_a_balancer_that_stops_reading_is_ended_and_holds_up_nobody(tmp_path):
+    """Its socket takes no more replies; others are answered, drains bind the other front."""
+    async with front(tmp_path) as (made, gates), connect(made.address, b"lb1") as client:
+        await client.hello()
+        await client.register(b"web", ALL)
+        many = tuple(member(f"10.1.{k // 200}.{k % 200}:80") for k in range(900))
+        poll = codec.encode(Message(3, GetWeights((Group(b"raw", b"g"),))))
+
+        def talk():
+            sock = raw(made.address)
+            body = Register(Sender.BALANCER, (MembersOf(Group(b"raw", b"g"), many),))
+            sock.sendall(HELLO + codec.encode(Message(2, body)))
+            assert [m.body.code for m in read(sock, 2)] == [0, 0]
+            sock.settimeout(3)
+            with contextlib.suppress(TimeoutError, OSError):
+                for _ in range(3000):
+                    sock.sendall(poll)
+            return sock
+
+        deaf = await anyio.to_thread.run_sync(talk)
+        try:
+            reply = await client.weights(b"web")
+            assert reply.code == Code.OK
+            made.pilot.list(s1="in_service", s2="in_service", s3="terminating")
+            with anyio.fail_after(2.2):
+                while any(name(3) in g.holdings.open_lines(n) for g in gates for n in weights(g)):
+                    await anyio.sleep(0.02)
+            assert told(await client.weights(b"web"))[name(3)].weight == 0
+        finally:
+            deaf.close()
+
+
+async def test_a_poll_while_the_pilot_has_no_list_and_members_that_nobody_knows(tmp_path):
+    async with front(tmp_path, gates=0) as (made, _):
+        made.pilot.stop()
+        (tmp_path / "servers.ini").unlink()
+        for path in (tmp_path / "state").glob("tables.db*"):
+            path.unlink()
+        await anyio.to_thread.run_sync(made.pilot.start)
+        async with connect(made.address, b"lb1") as client:
+            await client.hello()
+            await client.register(b"web", ALL)
+            reply = await client.weights(b"web")
+            assert reply.code == Code.OK and len(told(reply)) == 3
+
+
+async def test_a_thousand_groups(tmp_path):
+    async with front(tmp_path) as (made, _), connect(made.address, b"lb1") as client:
+        await client.hello()
+        names = [f"group {k}".encode() for k in range(1000)]
+        for k in range(0, 1000, 100):
+            body = Register(Sender.BALANCER, tuple(MembersOf(Group(b"lb1", n), tuple(ALL)) for n in names[k:k + 100]))
+            assert (await client.ask(body)).code == Code.OK
+        reply = await client.weights()
+        assert reply.code == Code.OK and len(reply.groups) == 1000
+        gone = Deregister(Sender.BALANCER, 0, tuple(MembersOf(Group(b"lb1", n), ()) for n in names[1:]))
+        assert (await client.ask(gone)).code == Code.OK
+        assert len((await client.weights()).groups) == 1
+
+
+async def test_a_restart_drops_registrations_and_who_does_not_come_back_is_told_so(tmp_path):
+    async with front(tmp_path) as (made, gates):
+        async with connect(made.address, b"lb1") as client:
+            await client.hello()
+            await client.register(b"web", ALL)
+            made.pilot.stop(signal.SIGKILL)
+            with anyio.fail_after(10):
+                await client.ended.wait()
+        await anyio.to_thread.run_sync(made.pilot.start)
+        async with connect(made.address, b"lb1") as client:
+            assert (await client.weights(b"web")).code == Code.UNKNOWN_LB
+            await client.hello()
+            assert (await client.weights(b"web")).code == Code.UNKNOWN_GROUP
+            assert await client.register(b"web", ALL) == Code.OK
+        await true(lambda: all(g.follower.linked for g in gates))
+
+
+async def test_without_any_gateway_that_reports_a_server_that_returns_gets_its_part_by_capacity(tmp_path):
+    async with front(tmp_path, gates=0) as (made, _), connect(made.address, b"lb1") as client:
+        await client.hello()
+        await client.register(b"web", ALL)
+        made.pilot.list(s1="in_service", s2="in_service", s3="terminating")
+        await settled(client, lambda w: w[name(3)].weight == 0, b"web")
+        made.pilot.list(s1="in_service", s2="in_service", s3="in_service")
+        await settled(client, lambda w: w[name(3)].weight == w[name(1)].weight > 0, b"web")
+
+
+async def test_two_pilots_asked_by_one_balancer_agree_on_what_the_list_says(tmp_path):
+    """Weights differ by what each has seen; zero, quiesce and membership do not, as they follow the list."""
+    (tmp_path / "a").mkdir()
+    (tmp_path / "b").mkdir()
+    async with front(tmp_path / "a") as (one, _), front(tmp_path / "b") as (other, _):
+        got = []
+        for made in (one, other):
+            made.pilot.list(s1="in_service", s2="terminating", s3="in_service")
+            async with connect(made.address, b"lb1") as client:
+                await client.hello()
+                await client.register(b"web", ALL)
+                reply = await settled(client, lambda w: w[name(2)].weight == 0, b"web")
+                got.append({n: (w.weight > 0, bool(w.flags & WeightFlag.QUIESCE)) for n, w in told(reply).items()})
+        assert got[0] == got[1]
+
+
+def test_what_operators_ask_on_the_command_line(tmp_path):
+    pilot = Pilot(tmp_path)
+    pilot.file.write_text(pilot.file.read_text() + FRONT)
+    pilot.list(s1="in_service", s2="in_service")
+    pilot.start()
+
+    def run(*words):
+        return subprocess.run([sys.executable, "-m", "damsonpick", "sasp", *words], capture_output=True, text=True,
+                              timeout=30)
+
+    try:
+        address = Front(pilot).address
+        until(lambda: pilot.log("listed"))
+        done = run("get", address, name(1), name(2), "--json")
+        assert done.returncode == 0 and {r["endpoint"] for r in json.loads(done.stdout)} == {name(1), name(2)}
+        assert run("get", address, name(1), "--lb", "stranger").returncode == 1
+        assert run("get", address, "nonsense").returncode == 2
+        assert "ask again in" in run("get", address, name(1)).stdout
+        done = run("watch", address, name(1), "--count", "1", "--lb", "watcher")
+        assert done.returncode == 0 and name(1) in done.stdout
+        done = run("balancers", str(pilot.file))
+        assert done.returncode == 0 and "watcher" in done.stdout
+    finally:
+        pilot.stop()
+    done = run("get", address, name(1))
+    assert done.returncode == 3 and "no manager answers" in done.stderr
+
+
+def test_settings_of_the_front_are_checked_whole(tmp_path):
+    pilot = Pilot(tmp_path)
+    text = pilot.file.read_text()
+    for wrong, said in (("[sasp group x]\ncovers = slices 4-99\n", "names slice 99"),
+                        ("[sasp group x]\ncovers = half\n", "is none of"),
+                        ("[sasp group x]\ncovers = slices 9-2\n", "names"),
+                        ("[sasp balancer x]\nmay = everything\n", "[sasp balancer x] may"),
+                        ("[sasp balancer x]\nzone = z\n", "is not among the zones"),
+                        ("[sasp group x]\ncovers = class page\n", "share"),
+                        ("[sasp]\nlisten = 8.8.8.8:1\n", "loopback")):
+        pilot.file.write_text(text + wrong)
+        done = subprocess.run([sys.executable, "-m", "damsonpick", "check", str(pilot.file)], capture_output=True,
+                              text=True)
+        assert done.returncode == 2 and said in done.stdout, (wrong, done.stdout)
