--- a/damsonpick/badday/script.py
+++ b/damsonpick/badday/script.py
@@ -26,6 +26,7 @@
     rate: float = Field(1.0, gt=0, le=10)  # seconds of the day to one of the wall
     seed: int = 1
     gateways: int = Field(20, ge=1, le=200)
+    balancers: int = Field(0, ge=0, le=100)  # on the SASP front, beside the gateways
     servers: int = Field(16, ge=1, le=100)
     zones: Names = ("north", "south", "west", "east")
     slices: int = Field(96, ge=0, le=5000)  # 0: a table for each zone and class
--- a/damsonpick/channel/queue.py
+++ b/damsonpick/channel/queue.py
@@ -92,6 +92,10 @@
         elif gateway in self.waits:
             self.shut.add(gateway)
 
+    def charge(self, lines: float) -> None:
+        """Lines of a message that turned out longer than what was ordered: what follows waits for them."""
+        self.tokens -= lines if self.rate else 0
+
     def waiting(self) -> float:
         """Lines that wait, heads included."""
         return sum(self.waits[g].lines + self.head for g in self.line)
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -76,6 +76,8 @@
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with pilot.running():
                 portfile.write(port_file, pilot.port)
+                if port_file is not None and pilot.sasp is not None:
+                    portfile.write(port_file.with_suffix(".sasp"), pilot.sasp.port)
                 async for _ in signals:
                     break
 
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -162,8 +162,7 @@
     def _replan(self) -> None:
         """The list has changed: tables that the solver lays follow at once, and advice on members does."""
         if self.sasp is not None:
-            self.sasp.desk.listed += 1
-            self.sasp.changed()
+            self.sasp.learn()
         if self.settings.solved:
             self.engine.step(self.clock.now())
             self.solving.first()
--- a/damsonpick/fronts/hub.py
+++ b/damsonpick/fronts/hub.py
@@ -102,6 +102,12 @@
                 idle.append(member.session)
         return idle
 
+    def offer(self, now: int, session: Session, lines: dict[str, set[str]], urgent: bool) -> None:
+        """Queue something for one session that no change of the tables brings: it takes the channel as any other."""
+        member = self.by.get(session)
+        if member is not None:
+            self.channel.order(now, member.number, self.published.seq, lines, urgent)
+
     def pump(self, now: int) -> tuple[list[Session], int | None]:
         """Hand to sessions what may leave now; returns those and ns until more may, None if nothing waits."""
         stirred: list[Session] = []
--- a/damsonpick/sasp/codec.py
+++ b/damsonpick/sasp/codec.py
@@ -68,9 +68,9 @@
     return _part(kind, struct.pack(">H", len(rows)) + write_group(group) + b"".join(rows))
 
 
-def write_weights_of(group: sasp.Group, rows: list[bytes]) -> bytes:
-    """A group of weights from entries that are encoded already."""
-    return _write_of(sasp.WEIGHTS_OF, group, rows)
+def write_weights_of(group: sasp.Group, count: int, rows: bytes) -> bytes:
+    """A group of weights from so many entries that are encoded already."""
+    return _part(sasp.WEIGHTS_OF, struct.pack(">H", count) + write_group(group) + rows)
 
 
 def _members_of(groups: tuple[sasp.MembersOf, ...]) -> bytes:
@@ -80,7 +80,7 @@
 
 def _weights_of(groups: tuple[sasp.WeightsOf, ...]) -> bytes:
     return struct.pack(">H", len(groups)) + b"".join(
-        write_weights_of(g.group, [write_weight(w) for w in g.weights]) for g in groups)
+        _write_of(sasp.WEIGHTS_OF, g.group, [write_weight(w) for w in g.weights]) for g in groups)
 
 
 def _body(body: sasp.Body) -> tuple[int, bytes]:
--- a/damsonpick/sasp/registry.py
+++ b/damsonpick/sasp/registry.py
@@ -14,6 +14,7 @@
 
 SECOND = 1_000_000_000
 GONE = 60 * SECOND  # ns that registrations outlive the last session of their balancer
+MOST_LOOKS = 10_000  # kept before those that no group has are dropped
 RIGHTS = ("refuse", "read", "register", "state")  # each includes those before it
 
 
@@ -32,12 +33,12 @@
 
 
 class GroupOf:
-    """A registered group. `stamp` grows with each change of it."""
+    """A registered group."""
 
     def __init__(self, key: Group, covers: str) -> None:
         self.key, self.covers = key, covers
         self.members: dict[Member, Entry] = {}
-        self.stamp = 0
+        self.look: tuple[tuple[Member, int, bool, bool], ...] = ()  # all that advice depends on, but the fleet
 
 
 class Balancer:
@@ -58,6 +59,7 @@
         self.limits, self.covers, self.rights = limits, covers, rights
         self.balancers: dict[bytes, Balancer] = {}
         self.stamp = 0  # grows with each change of anything
+        self.looks: dict[tuple, tuple] = {}
 
     def may(self, lb: bytes, right: str) -> bool:
         return RIGHTS.index(self.rights(lb)) >= RIGHTS.index(right)
@@ -219,7 +221,10 @@
 
     def _touch(self, group: GroupOf) -> None:
         self.stamp += 1
-        group.stamp = self.stamp
+        look = tuple((m, e.state, e.quiesced, e.own) for m, e in group.members.items())
+        group.look = self.looks.setdefault(look, look)  # one for all groups with the same members: found by identity
+        if len(self.looks) > MOST_LOOKS:
+            self.looks = {g.look: g.look for b in self.balancers.values() for g in b.groups.values()}
 
     # -- what follows for the fleet
 
--- a/damsonpick/sasp/server.py
+++ b/damsonpick/sasp/server.py
@@ -10,6 +10,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from damsonpick import interface as api
+from damsonpick.channel.queue import Waiting
 from damsonpick.engine.clock import Clock
 from damsonpick.engine.core import Engine
 from damsonpick.fronts.hub import Hub
@@ -24,6 +25,8 @@
 AT_ONCE = 4  # messages worked on between two turns of the loop: a crowd of polls holds up no push
 STUCK = 10.0  # s that a push may wait for a peer's socket; then the session is ended
 LOOK = 1.0  # s between looks at what only time changes
+SHARE = 0.05  # of the channel's limit that advice without a change of the tables may take in one look, all sessions
+IDLE = Waiting()
 SILENT = 60_000_000_000  # ns without any report after which advice goes by capacity
 HEARD = 10_000_000_000  # ns within which evidence counts as lately
 
@@ -45,7 +48,8 @@
         self.turn = anyio.Semaphore(AT_ONCE)
         self.port = 0
         self.fed: dict[str, bool] = {}
-        self.stamp = (0, 0)
+        self.stamp = 0
+        self.about: dict[str, weights.Known] = {}
 
     # -- what the desk asks
 
@@ -101,20 +105,37 @@
             await anyio.sleep(LOOK / self.clock.rate)
             for lb in self.registry.expire(self.clock.now()):
                 self.log.info("sasp_forgotten", balancer=repr(lb))
-            self.desk.listed += 1
             self.changed()
 
     def changed(self) -> None:
-        """Something beside the tables may have changed advice: sessions that take pushes look."""
+        """Something beside the tables may have changed advice: what is news goes through the channel."""
         self._feed()
+        self.learn()
         for session in self.streams:
-            session.review()
-        self.ring(list(self.streams))
+            self._offer(session)
+
+    def learn(self) -> None:
+        """What is known of endpoints. Polls hear of a drain at once; pushes with the withdrawal that the module orders,
+        behind those to gateways, which are a line each."""
+        about = {n: self._known(n) for n in self.engine.roster.entries}
+        if about != self.about:
+            self.about = about
+            self.desk.listed += 1
+
+    def _offer(self, session: SaspSession) -> None:
+        now = self.clock.now()
+        channel = self.hub.channel
+        if channel.waits.get(self.hub.by[session].number if session in self.hub.by else -1, IDLE).units:
+            return  # what waits for it is looked at when its turn comes
+        lines, urgent = session.news(now, max(1, int(SHARE * channel.limit / max(1, len(self.streams)))))
+        if lines:
+            self.hub.offer(now, session, lines, urgent)
+            self.stir()
 
     def _feed(self) -> None:
-        if not self.settings.sasp.feed or self.registry.stamp == self.stamp[0]:
+        if not self.settings.sasp.feed or self.registry.stamp == self.stamp:
             return
-        self.stamp = (self.registry.stamp, 0)
+        self.stamp = self.registry.stamp
         said = self.registry.endpoints()
         if said == self.fed:
             return
@@ -197,8 +218,8 @@
             self._joined(session)
         if self.registry.stamp != stamp:
             self.changed()
-        if session.pending is not None:
-            self.ring([session])
+        elif session.joined and not joined:
+            self._offer(session)
         return reply
 
     def _joined(self, session: SaspSession) -> None:
@@ -213,6 +234,7 @@
             await self.streams[session].wait()
             self.streams[session] = anyio.Event()
             while (push := session.compose(self.clock.now())) is not None:
+                self.hub.channel.charge(session.rows)
                 with anyio.fail_after(STUCK):
                     async with lock:
                         await stream.send(push)
--- a/damsonpick/sasp/session.py
+++ b/damsonpick/sasp/session.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from damsonpick.fronts.session import Due
 from damsonpick.sasp import codec, weights
@@ -20,7 +20,8 @@
 from damsonpick.tables.published import FLEET, Published, slice_unit
 
 SECOND = 1_000_000_000
-FRESH = SECOND  # ns for which shares are kept while no table changes: heat moves slowly
+FRESH = 2 * SECOND  # ns for which shares are kept while no table changes: heat moves slowly
+MOST_MADE = 20_000  # pieces of advice kept
 NEVER = 1 << 62
 REPLY = {Kind.REGISTER: Kind.REGISTER_REPLY, Kind.DEREGISTER: Kind.DEREGISTER_REPLY,
          Kind.SET_LB_STATE: Kind.SET_LB_STATE_REPLY, Kind.SET_MEMBER_STATE: Kind.SET_MEMBER_STATE_REPLY}
@@ -45,11 +46,12 @@
                  blind: Callable[[], dict[str, float]] = dict) -> None:
         self.published, self.registry, self.pace, self.blind = published, registry, pace, blind
         self.heat, self.known, self.filled = heat, known, filled
-        self.kept: dict[str, tuple[int, int, dict[str, float]]] = {}  # covers: (seq, ns, shares)
+        self.kept: dict[str, tuple[tuple, dict[str, float]]] = {}  # covers: (what it rests on, shares)
         self.texts: dict[tuple[sasp.Member, int, Advice], bytes] = {}
-        self.made: dict[int, tuple[tuple, dict[str, Advice], bytes]] = {}  # group: (stamps, advice, text)
+        self.made: dict[tuple[str, int], tuple[tuple, tuple, dict[str, Advice], bytes]] = {}
         self.units: dict[str, dict[str, None]] = {}  # by what is covered
-        self.listed = 0  # grows when the list changes
+        self.listed = 0  # grows when what is known of endpoints changes
+        self.seq = 0
 
     def slices(self, covers: str) -> list[int]:
         """Tables that a group covers."""
@@ -61,36 +63,55 @@
             return list(range(self.published.classes.index(rest), self.published.slices, count))
         return list(range(self.published.slices))
 
-    def shares(self, now: int, covers: str) -> tuple[int, dict[str, float]]:
-        """Shares over what is covered, and a number that changes with them."""
-        seq, at, found = self.kept.get(covers, (-1, 0, {}))
-        if seq != self.published.seq or now - at >= FRESH:
-            if seq not in (-1, self.published.seq):
-                self.pace.change(now)
+    def covered(self, covers: str) -> Mapping[str, None]:
+        """Units of what a group covers."""
+        if covers not in self.units:
+            self.units[covers] = dict.fromkeys(slice_unit(n) for n in self.slices(covers))
+        return self.units[covers]
+
+    def shares(self, now: int, covers: str) -> tuple[tuple, dict[str, float]]:
+        """Shares over what is covered, and what they rest on: a change elsewhere makes nothing anew, and heat moves
+        only what covers several slices."""
+        changed, units = self.published.changed, self.covered(covers)
+        if self.published.seq != self.seq:
+            self.seq = self.published.seq
+            self.pace.change(now)
+        rests = (changed[FLEET], max((changed[u] for u in units), default=0),
+                 now // FRESH if len(units) > 1 else 0)
+        kept = self.kept.get(covers)
+        if kept is None or kept[0] != rests:
             capacities = self.blind() if covers == "fleet" else {}  # a slice stays where its table has it
             found = weights.by_capacity(capacities, self.published.withdrawn) or weights.shares(
                 self.published, self.slices(covers), self.heat)
-            at = now
-            self.kept[covers] = (self.published.seq, at, found)
-        return at, found
+            kept = self.kept[covers] = rests, found
+        return kept
 
     def advice(self, now: int, group: GroupOf) -> tuple[dict[str, Advice], bytes]:
-        """Advice on a group, and its text on the wire."""
-        at, share = self.shares(now, group.covers)
-        stamps = (at, group.stamp, self.listed, self.published.seq)
-        made = self.made.get(id(group))
-        if made is not None and made[0] == stamps:
-            return made[1], made[2]
-        entries = group.members
-        found = weights.advise(
-            share, dict.fromkeys(m.endpoint for m in entries), self.known, self.published.withdrawn,
-            [m.endpoint for m, e in entries.items() if e.quiesced], [m.endpoint for m, e in entries.items() if e.own])
-        rows = [self._row(m, e.state, found[m.endpoint]) for m, e in entries.items()]
-        text = codec.write_weights_of(group.key, rows)
-        if len(self.made) > 10_000:
-            self.made.clear()
-        self.made[id(group)] = (stamps, found, text)
-        return found, text
+        """Advice on a group, and its text on the wire. Made once for all groups that cover the same and have the same
+        members; the same object as long as nothing of it changes."""
+        rests, share = self.shares(now, group.covers)
+        rests = (*rests, self.listed)
+        key = (group.covers, id(group.look))
+        made = self.made.get(key)
+        if made is None or made[0] is not group.look or made[1] != rests:
+            found = weights.advise(
+                share, dict.fromkeys(m.endpoint for m, *_ in group.look), self.known, self.published.withdrawn,
+                [m.endpoint for m, _, quiesced, _ in group.look if quiesced],
+                [m.endpoint for m, _, _, own in group.look if own])
+            if made is not None and made[0] is group.look and made[2] == found:
+                found, text = made[2], made[3]
+            else:
+                text = b"".join(self._row(m, state, found[m.endpoint]) for m, state, *_ in group.look)
+            if len(self.made) > MOST_MADE:
+                self.made.clear()
+            made = self.made[key] = group.look, rests, found, text
+        return made[2], codec.write_weights_of(group.key, len(group.look), made[3])
+
+    def changed(self, group: GroupOf, before: Mapping[str, Advice], after: Mapping[str, Advice]) -> tuple[int, bytes]:
+        """The members of a group whose advice has changed: how many, and their text."""
+        rows = [self._row(m, state, after[m.endpoint]) for m, state, *_ in group.look
+                if before.get(m.endpoint) != after[m.endpoint]]
+        return len(rows), codec.write_weights_of(group.key, len(rows), b"".join(rows))
 
     def _row(self, member: sasp.Member, state: int, advice: Advice) -> bytes:
         key = (member, state, advice)
@@ -118,8 +139,11 @@
         self.polled = self.pushed = self.seen = 0  # ns, ns, change number
         self.interval = 0  # s that it was last asked to wait
         self.pending: Due | None = None  # a change that is to be pushed
+        self.stale: set[str] = set()  # units whose groups are to be looked at; FLEET: all
+        self.wanted: tuple[int, set[str]] = (-1, set())  # units of all its groups, at a stamp of the registry
         self.writing = 0  # lowest change number of a push that the socket has not taken; 0: none
         self.number = 0  # of the last message of ours
+        self.rows = 0  # members in the last push
 
     # -- requests
 
@@ -150,7 +174,6 @@
                 code, kind = registry.register(self, sender, groups), Kind.REGISTER
                 if code == Code.OK and sender & Sender.BALANCER and groups:
                     self._known(groups[0].group.lb, self.flags)
-                    self._later()
             case sasp.Deregister(sender, _, groups):
                 code, kind = registry.deregister(self, sender, groups), Kind.DEREGISTER
             case sasp.SetMemberState(sender, groups):
@@ -164,13 +187,10 @@
             self.lb, self.node = lb, "sasp:" + lb.decode("utf-8", "backslashreplace")
             self.zone = self.zone_of(lb)
         self.flags = flags
-        if flags & LbFlag.PUSH:
-            self._later()
 
-    def _later(self) -> None:
-        """What it has not been told yet is to be pushed."""
-        if self.flags & LbFlag.PUSH and self.pending is None:
-            self.pending = Due(0, 0, 0)
+    @property
+    def pushes(self) -> bool:
+        return bool(self.flags & LbFlag.PUSH)
 
     def _weights(self, now: int, number: int, groups: tuple[sasp.Group, ...]) -> bytes:
         """A poll. With NO_CHANGE, groups that say what they said are left out."""
@@ -205,15 +225,17 @@
         if self.pending is None or self.writing:
             return None
         due, self.pending = self.pending, None
-        balancer = self.desk.registry.balancers.get(self.lb)
-        texts = []
-        for group in balancer.groups.values() if balancer else ():
-            advice, text = self.desk.advice(now, group)
-            if weights.matters(self.told.get(group.key.name, {}), advice):
-                self.told[group.key.name] = advice
-                texts.append(text)
-        for name in [n for n in self.told if balancer is None or n not in balancer.groups]:
-            del self.told[name]
+        stale, self.stale = self.stale, set()
+        texts, self.rows = [], 0
+        for group, advice, text in self._news(now, stale):
+            before = self.told.get(group.key.name)
+            if self.flags & LbFlag.NO_CHANGE and before is not None:
+                count, text = self.desk.changed(group, before, advice)
+            else:
+                count = len(group.look)
+            self.told[group.key.name] = advice
+            self.rows += count
+            texts.append(text)
         self.seen = self.desk.published.seq
         if not texts:
             return None
@@ -222,14 +244,43 @@
         body = len(texts).to_bytes(2, "big") + b"".join(texts)
         return codec.frame(self.number, Kind.SEND_WEIGHTS, body)
 
+    def _news(self, now: int, stale: set[str]) -> Iterator[tuple[GroupOf, dict[str, Advice], bytes]]:
+        """Groups of which its peer should be told, beyond noise."""
+        balancer = self.desk.registry.balancers.get(self.lb)
+        groups = balancer.groups if balancer else {}
+        for name in [n for n in self.told if n not in groups]:
+            del self.told[name]
+        for group in groups.values():
+            units = self.desk.covered(group.covers)
+            if FLEET not in stale and not (stale & units.keys() if len(stale) < len(units)
+                                           else any(u in stale for u in units)):
+                continue
+            advice, text = self.desk.advice(now, group)
+            before = self.told.get(group.key.name)
+            if advice is not before and weights.matters(before or {}, advice):
+                yield group, advice, text
+
+    def news(self, now: int, most: int) -> tuple[dict[str, set[str]], bool]:
+        """What it should be told though no table changed, as lines by unit of about `most`, and whether a member has
+        newly been quiesced: that is never put off. The rest waits for the next look, or for its poll."""
+        if not self.pushes or self.pending is not None or self.writing:
+            return {}, False
+        lines: dict[str, set[str]] = {}
+        count, hurry = 0, False
+        for group, advice, _ in self._news(now, {FLEET}):
+            quiesced = weights.urgent(self.told.get(group.key.name, {}), advice)
+            if count >= most and not quiesced:
+                continue
+            hurry |= quiesced and group.key.name in self.told
+            count += len(advice)
+            unit = next(iter(self.desk.covered(group.covers)), FLEET)
+            lines.setdefault(unit, set()).update(f"{group.key.name!r} {n}" for n in advice)
+        return lines, hurry
+
     def written(self) -> None:
         """The socket took the push."""
         self.writing = 0
 
-    def review(self) -> None:
-        """The list or a quiesce changed: what follows is pushed as any change is."""
-        self._later()
-
     # -- fronts.session.Session
 
     @property
@@ -242,17 +293,15 @@
             return False
         if unit == FLEET:
             return True
-        return any(unit in self._units(g.covers) for g in self.desk.registry.balancers[self.lb].groups.values())
-
-    def _units(self, covers: str) -> Mapping[str, None]:
-        kept = self.desk.units
-        if covers not in kept:
-            kept[covers] = dict.fromkeys(slice_unit(n) for n in self.desk.slices(covers))
-        return kept[covers]
+        if self.wanted[0] != self.desk.registry.stamp:
+            groups = self.desk.registry.balancers[self.lb].groups.values()
+            self.wanted = self.desk.registry.stamp, {u for g in groups for u in self.desk.covered(g.covers)}
+        return unit in self.wanted[1]
 
     def change(self, units: Iterable[str], due: Due) -> None:
         first = min(due.first, self.pending.first) if self.pending and self.pending.first else due.first
         self.pending = Due(first, due.ordered, due.lines)
+        self.stale.update(units)
 
     def ready(self) -> bool:
         return not self.writing
--- /dev/null
+++ b/damsonpick/standins/balancer.py
@@ -0,0 +1,106 @@
+"""A balancer that stands in: it weighs requests by SASP advice, one group a slice, and forwards as the gateways do."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from damsonpick.engine.clock import Clock
+from damsonpick.proxy.holdings import Table
+from damsonpick.roster.redial import Redial
+from damsonpick.sasp.client import Client, SaspError, connect
+from damsonpick.sasp.layout import Group, LbFlag, MembersOf, Register, Sender, SendWeights, WeightsOf, member
+from damsonpick.standins.gateway import Gateway, Kind, Links
+from damsonpick.standins.record import Recorder
+from damsonpick.xds.names import EDS
+
+BATCH = 50  # groups in one registration
+LOST = (SaspError, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class Balancer(Gateway):
+    """Args as a Gateway's, but `dial` gives the address of the SASP front; members: zone by server; slices: number."""
+
+    def __init__(self, name: str, zone: str, dial: Callable[[], str], kinds: dict[str, Kind], clock: Clock,
+                 record: Recorder, links: Links, rng: random.Random, members: dict[str, str], slices: int) -> None:
+        super().__init__(name, zone, True, dial, kinds, clock, record, links, rng)
+        self.dial, self.members, self.slices = dial, members, slices
+        self.seen, self.count = False, 0
+
+    async def follow(self) -> None:
+        """Keep a session with the pilot, for ever; what was advised last stays in force meanwhile."""
+        redial = Redial(self.rng, 0.1, 1.0)
+        while True:
+            address = self.dial()
+            if address and self.links.to_pilot(self.name, self.zone):
+                try:
+                    await self._session(address, redial)
+                except* LOST:
+                    pass
+            await anyio.sleep(redial.failed() / self.clock.rate)
+
+    async def _session(self, address: str, redial: Redial) -> None:
+        pushes, receive = anyio.create_memory_object_stream[SendWeights](1000)
+        up = False
+        try:
+            async with connect(address, self.name.encode(), pushes.send_nowait) as client:
+                await self._register(client)
+                first = (await client.weights()).groups
+                redial.succeeded()
+                up = True
+                self.record.put("stream", gw=self.name, up=True, zone=self.zone, fresh=not self.seen)
+                self.seen = True
+                await self._took(first)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._poll, client)
+                    group.start_soon(self._until_lost, client, group.cancel_scope)
+                    async for push in receive:
+                        await self._took(push.groups)
+        finally:
+            if up:
+                self.record.put("stream", gw=self.name, up=False)
+
+    async def _register(self, client: Client) -> None:
+        if code := await client.hello(LbFlag.PUSH | LbFlag.NO_CHANGE):
+            raise SaspError(f"refused with 0x{code:02x}")
+        listed = tuple(member(name) for name in self.members)
+        names = [f"slice/{n}".encode() for n in range(self.slices)]
+        for k in range(0, len(names), BATCH):
+            body = Register(Sender.BALANCER, tuple(MembersOf(Group(client.lb, n), listed) for n in names[k:k + BATCH]))
+            code = (await client.ask(body)).code
+            if code not in (0, 0x40):  # 0x40: still registered from the session before
+                raise SaspError(f"refused with 0x{code:02x}")
+
+    async def _poll(self, client: Client) -> None:
+        """Ask again when advised to: what a push left out as noise comes this way."""
+        while True:
+            reply = await client.weights()
+            await self._took(reply.groups)
+            await anyio.sleep(max(1, reply.interval) / self.clock.rate)
+
+    async def _until_lost(self, client: Client, scope: anyio.CancelScope) -> None:
+        while not client.ended.is_set() and self.links.to_pilot(self.name, self.zone):
+            await anyio.sleep(0.05)
+        scope.cancel()
+
+    async def _took(self, groups: tuple[WeightsOf, ...]) -> None:
+        """Advice in force, after whatever holds this balancer up."""
+        if (wait := self.clock.seconds(max(self.stalled_until - self.clock.now(), 0) + self.read_delay)) > 0:
+            await anyio.sleep(wait)
+        shown = {}
+        for group, weights in groups:
+            unit = group.name.decode()
+            lines = dict(self.holdings.tables[unit].lines) if unit in self.holdings.tables else {}
+            for w in weights:  # a push may tell of some members alone
+                lines.pop(w.member.endpoint, None)
+                if w.weight:
+                    lines[w.member.endpoint] = (w.weight, self.members.get(w.member.endpoint, ""))
+            self.holdings.tables[unit] = Table(lines, {})
+            self.count += 1
+            shown[unit] = {"v": str(self.count), "lines": {n: w for n, (w, _) in lines.items()}, "levels": {}}
+        if shown:
+            self.changed.set()
+            self.changed = anyio.Event()
+            self.record.put("got", gw=self.name, type=EDS.rpartition(".")[2], nonce="", res=shown, removed=[], nack="")
--- a/damsonpick/standins/fleet.py
+++ b/damsonpick/standins/fleet.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 from damsonpick.engine.clock import Clock
+from damsonpick.standins.balancer import Balancer
 from damsonpick.standins.gateway import Gateway, Kind, Links
 from damsonpick.standins.proxied import Proxied
 from damsonpick.standins.record import Recorder
@@ -66,9 +67,16 @@
             g["name"]: make(g["name"], g["zone"], g["delta"], self.pilot, self.kinds, self.clock, self.record,
                             self.links, random.Random(f"{setup['seed']} {g['name']}"))
             for g in setup["gateways"]}
+        self.gateways |= {
+            g["name"]: Balancer(g["name"], g["zone"], self.sasp, self.kinds, self.clock, self.record, self.links,
+                                random.Random(f"{setup['seed']} {g['name']}"), setup["members"], setup["slices"])
+            for g in setup.get("balancers", ())}
         self.shares = [self.rng.lognormvariate(0.0, 0.8) for _ in self.gateways]
         self.count = 0
 
+    def sasp(self) -> str:
+        return portfile.address(self.port_file.with_suffix(".sasp"))
+
     def pilot(self) -> str:
         return portfile.address(self.port_file)
 
