--- /dev/null
+++ b/benchmarks/sasp.py
@@ -0,0 +1,224 @@
+"""The SASP front: polls a second, a drain's push during a poll storm, what sessions cost.
+
+    python -m benchmarks.sasp --out benchmarks/sasp.json
+
+`polls`: one session against the desk, no sockets, 60 members, 1 to 1,000 groups; `made anew` is the baseline: a reply
+whose advice and text are made for that poll alone. `storm`: a pilot's process, 500 balancers in another that poll as
+fast as they are answered, and one that takes pushes: from the list's change (its file is looked at every 20 ms) to the
+push, and to an xDS gateway's withdrawal, against the same without the storm. `sessions`: memory and CPU of the pilot
+with 500 idle sessions.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+import os
+import platform
+import random
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import anyio
+import psutil
+
+from damsonpick.sasp import codec
+from damsonpick.sasp.client import connect
+from damsonpick.sasp.layout import GetWeights, Group, LbFlag, MembersOf, Message, Register, Sender, member
+from damsonpick.sasp.pace import Meter, Pace
+from damsonpick.sasp.registry import Limits, Registry
+from damsonpick.sasp.session import Desk, SaspSession
+from damsonpick.sasp.weights import Known
+from damsonpick.tables.published import Published
+from tests.gates import Gate
+from tests.pilots import Pilot, name
+
+NOW = 10**18
+MEMBERS, BALANCERS = 60, 500
+SASP = "\n[sasp]\nlisten = 127.0.0.1:0\nsessions = 2000\n"
+
+
+def polls(groups: int, seconds: float = 1.0) -> dict[str, float]:
+    """Polls of all groups of one balancer, a second of CPU."""
+    published = Published(("page",), 400)
+    for n in range(400):
+        published.restore(n, {name(1 + n % MEMBERS): 1.0, name(1 + (n + 7) % MEMBERS): 1.0})
+    registry = Registry(Limits(2000, 1000), lambda text: "fleet" if text == b"all" else f"slices {int(text) % 400}",
+                        lambda lb: "register")
+    desk = Desk(published, registry, Pace(random.Random(1)), lambda n: 1.0 + n % 5, lambda n: Known(True, True, True),
+                lambda: 0.0)
+    session = SaspSession(desk, lambda lb: "a", Meter(1e9))
+    listed = tuple(member(name(k)) for k in range(1, MEMBERS + 1))
+    keys = [Group(b"lb", b"all")] if groups == 1 else [Group(b"lb", b"%d" % n) for n in range(groups)]
+    registry.register(session, Sender.BALANCER, [MembersOf(k, listed) for k in keys])
+    request = codec.encode(Message(1, GetWeights(tuple(keys))))
+    found = {}
+    for how in ("kept", "made anew"):
+        count, start = 0, time.process_time()
+        while time.process_time() - start < seconds:
+            if how == "made anew":
+                desk.made.clear()
+                desk.kept.clear()
+                desk.texts.clear()
+            size = len(session.receive(NOW, request))
+            count += 1
+        found[how] = count / (time.process_time() - start)
+    return {"groups": groups, "polls_per_s": round(found["kept"], 1), "made_anew_per_s": round(found["made anew"], 1),
+            "kept_to_made_anew": round(found["kept"] / found["made anew"], 2), "bytes": size}
+
+
+async def crowd(address: str, polling: bool) -> None:
+    """500 balancers in this process; says when all are there, ends with its input."""
+    listed = [member(name(k)) for k in range(1, MEMBERS + 1)]
+    ready, done = 0, 0
+    rng = random.Random(1)
+
+    async def one(k: int) -> None:
+        nonlocal ready, done
+        async with connect(address, f"storm-{k}".encode()) as client:
+            await client.hello()
+            await client.register(b"all", listed)
+            ready += 1
+            while polling:
+                await client.weights(b"all")
+                done += 1
+                await anyio.sleep(rng.uniform(0, 0.001))
+            await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as group:
+        for k in range(BALANCERS):
+            group.start_soon(one, k)
+        while ready < BALANCERS:
+            await anyio.sleep(0.05)
+        print("ready", flush=True)
+        start, before = time.monotonic(), done
+        await anyio.to_thread.run_sync(sys.stdin.read)
+        print((done - before) / (time.monotonic() - start), flush=True)
+        group.cancel_scope.cancel()
+
+
+@contextlib.contextmanager
+def crowded(address: str, polling: bool) -> Any:
+    process = subprocess.Popen([sys.executable, "-m", "benchmarks.sasp", "--crowd", address, str(int(polling))],
+                               stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+    try:
+        assert process.stdout.readline().strip() == "ready"
+        yield process
+    finally:
+        process.stdin.close()
+        process.wait(20)
+
+
+def listed(pilot: Pilot, draining: int) -> None:
+    pilot.list(**{f"s{k}": "terminating" if k == draining else "in_service" for k in range(1, MEMBERS + 1)})
+
+
+async def drains(pilot: Pilot, address: str, repeats: int) -> dict[str, list[float]]:
+    """ms from the list's change to the push, and to an xDS gateway's withdrawal."""
+    pushes: list[Any] = []
+    gate, rng = Gate(pilot.folder, f"g-{time.monotonic_ns()}"), random.Random(repeats)
+    found: dict[str, list[float]] = {"push": [], "xds": []}
+    async with connect(address, f"push-{time.monotonic_ns()}".encode(), pushes.append) as client, \
+            anyio.create_task_group() as group:
+        group.start_soon(gate.follower.run)
+        await client.hello(LbFlag.PUSH)
+        await client.register(b"all", [member(name(k)) for k in range(1, MEMBERS + 1)])
+        while len(gate.holdings.tables) < 7:
+            await anyio.sleep(0.05)
+        for k in range(1, repeats + 1):
+            await anyio.sleep(rng.uniform(0.4, 0.6))  # not in step with the looks at the list
+            pushes.clear()
+            assert any(name(k) in gate.holdings.open_lines(n) for n in gate.holdings.tables), name(k)
+            start, when = time.perf_counter(), {}
+            listed(pilot, k)
+            while len(when) < 2:
+                if "push" not in when and any(w.member.endpoint == name(k) and not w.weight for p in pushes
+                                              for g in p.groups for w in g.weights):
+                    when["push"] = time.perf_counter() - start
+                if "xds" not in when and not any(name(k) in gate.holdings.open_lines(n) for n in gate.holdings.tables):
+                    when["xds"] = time.perf_counter() - start
+                await anyio.sleep(0.0005)
+                if time.perf_counter() - start > 10:
+                    raise TimeoutError(f"{set(found) - set(when)} took over 10 s")
+            for what, took in when.items():
+                found[what].append(took * 1e3)
+        group.cancel_scope.cancel()
+    return found
+
+
+def row(times: list[float]) -> dict[str, float]:
+    return {"median_ms": round(statistics.median(times), 1), "least": round(min(times), 1),
+            "most": round(max(times), 1)}
+
+
+async def sockets(folder: Path, repeats: int) -> dict[str, Any]:
+    pilot = Pilot(folder, slices=2 * MEMBERS)  # each server has lines, so that a drain has something to withdraw
+    pilot.file.write_text(pilot.file.read_text() + SASP)
+    listed(pilot, 0)
+    await anyio.to_thread.run_sync(pilot.start)
+    try:
+        while not pilot.log("sasp_open"):
+            await anyio.sleep(0.05)
+        address = f"127.0.0.1:{pilot.log('sasp_open')[0]['port']}"
+        of = psutil.Process(pilot.process.pid)
+        await anyio.sleep(1)
+        empty, idle = of.memory_info().rss, cpu(of)
+        quiet = await drains(pilot, address, repeats)
+        with crowded(address, True) as process:
+            storm = await drains(pilot, address, repeats)
+            process.stdin.close()
+            rate = float(process.stdout.read().split()[-1])
+        await anyio.sleep(2)
+        before = of.memory_info().rss
+        with crowded(address, False):
+            await anyio.sleep(1)
+            full, busy = of.memory_info().rss, cpu(of)
+        medians = {k: (statistics.median(quiet[k]), statistics.median(storm[k])) for k in quiet}
+        return {"storm": {
+            "balancers": BALANCERS, "polls_per_s": round(rate), **{
+                k: {"quiet": row(quiet[k]), "storm": row(storm[k]),
+                    "storm_to_quiet": round(medians[k][1] / medians[k][0], 2)} for k in quiet}},
+            "sessions": {"pilot_mib": round(empty / 2**20, 1),
+                         "kib_a_session": round((full - before) / 1024 / BALANCERS, 1),
+                         "cpu_without": idle, "cpu_with_500_idle": busy}}
+    finally:
+        pilot.stop()
+
+
+def cpu(of: psutil.Process, seconds: float = 4.0) -> float:
+    """Share of a core."""
+    start = sum(of.cpu_times()[:2])
+    time.sleep(seconds)
+    return round((sum(of.cpu_times()[:2]) - start) / seconds, 4)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--out", type=Path)
+    parser.add_argument("--repeat", type=int, default=15)
+    parser.add_argument("--crowd", nargs=2)
+    args = parser.parse_args()
+    if args.crowd:
+        anyio.run(crowd, args.crowd[0], args.crowd[1] == "1")
+        return
+    result: dict[str, Any] = {"command": "python -m benchmarks.sasp --out benchmarks/sasp.json", "seed": 1,
+                              "repeats": args.repeat,
+                              "machine": {"python": platform.python_version(), "cores": os.cpu_count()},
+                              "polls": [polls(n) for n in (1, 100, 1000)]}
+    print(json.dumps(result["polls"]), flush=True)
+    # in memory where there is such a folder: a rename over a file waits for a disk, and the drain is seen meanwhile
+    with tempfile.TemporaryDirectory(dir="/dev/shm" if Path("/dev/shm").is_dir() else None) as scratch:
+        result |= anyio.run(sockets, Path(scratch), args.repeat)
+    print(json.dumps({k: result[k] for k in ("storm", "sessions")}, indent=1))
+    if args.out:
+        args.out.write_text(json.dumps(result, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
