SASP: a fault ends one session, groups that do not fit are refused, deaf peers are ended

A group whose component would pass 65,535 bytes raised while a reply was written, and an error in one session would have ended the pilot; a peer that took no reply held its session for ever; a planner that failed and could not be read would have failed its restart. One piece for groups that a sender may change.

--- a/benchmarks/sasp.py
+++ b/benchmarks/sasp.py
@@ -30,7 +30,7 @@
 
 from damsonpick.sasp import codec
 from damsonpick.sasp.client import connect
-from damsonpick.sasp.layout import GetWeights, Group, LbFlag, MembersOf, Message, Register, Sender, member
+from damsonpick.sasp.layout import GetWeights, Group, LbFlag, MembersOf, Message, Sender, member
 from damsonpick.sasp.pace import Meter, Pace
 from damsonpick.sasp.registry import Limits, Registry
 from damsonpick.sasp.session import Desk, SaspSession
--- a/damsonpick/daemon/remembering.py
+++ b/damsonpick/daemon/remembering.py
@@ -61,7 +61,10 @@
             return
         while True:
             await anyio.sleep(self.clock.seconds(self.settings.knowledge.every))
-            await self.once(engine)
+            try:
+                await self.once(engine)
+            except Exception as error:  # what learns must not stop what serves
+                self.log.error("knowledge_failed", error=repr(error), remedy="send this to the maintainers")
 
     async def once(self, engine: Engine) -> None:
         """One snapshot. The planner is read in steps between which the loop runs on; the rest is a thread's."""
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -143,6 +143,14 @@
         """A planner that has learned nothing, in place of the one at work; tables and orders stay."""
         self._begin(self.clock.take(now), anew=True)
 
+    def _salvage(self) -> Snapshot | None:
+        """What a planner that failed had learned, if it can be read at all."""
+        try:
+            return self.learned()
+        except Exception as error:
+            self.log.warning("nothing_salvaged", error=repr(error))
+            return None
+
     def tell(self, *events: api.Event) -> None:
         """Events for the next step, in order."""
         self.inbox.extend(events)
@@ -217,7 +225,7 @@
         self.failed_at = now
         wait = 0 if self.failures == 1 else min(RESTART_MOST, RESTART_FIRST * 2 ** min(self.failures, 8))
         # what it learned may be what it failed of: it is handed on once, and not after a second failure
-        self.salvaged = self.learned() if self.failures == 1 else None
+        self.salvaged = self._salvage() if self.failures == 1 else None
         self.planner, self.restart_at = None, now + wait
         self.log.error("module_failed", error=repr(error), restart_in_ms=wait // 1_000_000, failures=self.failures,
                        tables="the last ones stay in service", exc_info=error,
--- a/damsonpick/sasp/registry.py
+++ b/damsonpick/sasp/registry.py
@@ -14,10 +14,16 @@
 
 SECOND = 1_000_000_000
 GONE = 60 * SECOND  # ns that registrations outlive the last session of their balancer
+LARGEST = 65_535  # bytes that a group's component can say it has
 MOST_LOOKS = 10_000  # kept before those that no group has are dropped
 RIGHTS = ("refuse", "read", "register", "state")  # each includes those before it
 
 
+def _size(group: Group, members: Iterable[Member]) -> int:
+    """Bytes of a group's weights on the wire."""
+    return 12 + len(group.lb) + len(group.name) + sum(32 + len(m.label) for m in members)
+
+
 class Limits(NamedTuple):
     groups: int  # of one balancer
     members: int  # of one group
@@ -104,14 +110,15 @@
     def register(self, session: Any, sender: Sender, groups: Iterable[MembersOf]) -> Code:
         seen: set[tuple[Group, Member]] = set()
         for group, members in groups:
-            if code := self._named(group) or self._speaks(sender, group.lb):
+            if code := self._named(group) or self._speaks(sender, group.lb, "register"):
                 return code
             balancer = self.balancers.get(group.lb)
             have = balancer.groups.get(group.name) if balancer else None
             if self.covers(group.name) is None:
                 return Code.INVALID_GROUP
             fresh = have is None and len(balancer.groups if balancer else ()) >= self.limits.groups
-            if fresh or len(have.members if have else ()) + len(members) > self.limits.members:
+            every = [*(have.members if have else ()), *members]
+            if fresh or len(every) > self.limits.members or _size(group, every) > LARGEST:
                 return Code.INVALID_GROUP
             for member in members:
                 if (group, member) in seen:
@@ -137,13 +144,9 @@
             return self._all_of(session, sender)
         seen: set[Group] = set()
         for group, members in groups:
-            if code := self._named(group) or self._speaks(sender, group.lb):
-                return code
-            if group.lb not in self.balancers:
-                return Code.UNKNOWN_LB
-            have = self.balancers[group.lb].groups.get(group.name)
-            if have is None:
-                return Code.UNKNOWN_GROUP
+            have = self._changeable(sender, group, "register")
+            if isinstance(have, Code):
+                return have
             if group in seen:
                 return Code.DUPLICATE_GROUP
             seen.add(group)
@@ -177,13 +180,9 @@
     def set_states(self, sender: Sender, groups: Iterable[StatesOf]) -> Code:
         """Opaque states, and who is to get no new work."""
         for group, states in groups:
-            if code := self._named(group) or self._speaks(sender, group.lb, "state"):
-                return code
-            if group.lb not in self.balancers:
-                return Code.UNKNOWN_LB
-            have = self.balancers[group.lb].groups.get(group.name)
-            if have is None:
-                return Code.UNKNOWN_GROUP
+            have = self._changeable(sender, group, "state")
+            if isinstance(have, Code):
+                return have
             if len({s.member for s in states}) != len(states):
                 return Code.DUPLICATE_MEMBER
             if any(s.member not in have.members for s in states):
@@ -206,12 +205,20 @@
             return Code.UNKNOWN_LB
         return self.balancers[group.lb].groups.get(group.name) or Code.UNKNOWN_GROUP
 
+    def _changeable(self, sender: Sender, group: Group, right: str) -> GroupOf | Code:
+        """A registered group that this sender may change, or why not."""
+        if code := self._named(group) or self._speaks(sender, group.lb, right):
+            return code
+        if group.lb not in self.balancers:
+            return Code.UNKNOWN_LB
+        return self.balancers[group.lb].groups.get(group.name) or Code.UNKNOWN_GROUP
+
     def _named(self, group: Group) -> Code:
         if not group.lb:
             return Code.EMPTY_LB_UID
         return Code.OK if group.name else Code.EMPTY_GROUP_NAME
 
-    def _speaks(self, sender: Sender, lb: bytes, right: str = "register") -> Code:
+    def _speaks(self, sender: Sender, lb: bytes, right: str) -> Code:
         """Whether this sender may change groups of that balancer."""
         if sender & Sender.BALANCER:
             return Code.OK if self.may(lb, right) else Code.NOT_FROM_SENDER
--- a/damsonpick/sasp/server.py
+++ b/damsonpick/sasp/server.py
@@ -23,7 +23,6 @@
 
 CHUNK = 65_536
 AT_ONCE = 4  # messages worked on between two turns of the loop: a crowd of polls holds up no push
-STUCK = 10.0  # s that a push may wait for a peer's socket; then the session is ended
 LOOK = 1.0  # s between looks at what only time changes
 SHARE = 0.05  # of the channel's limit that advice without a change of the tables may take in one look, all sessions
 IDLE = Waiting()
@@ -173,7 +172,11 @@
                     why = await self._read(stream, session, lock)
                     group.cancel_scope.cancel()
             except* (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError) as errors:
-                why = "it took no push in time" if errors.subgroup(TimeoutError) else "the stream broke"
+                why = "it does not read" if errors.subgroup(TimeoutError) else "the stream broke"
+            except* Exception as errors:  # a fault of ours ends this session and nothing else
+                why = "a fault of the program"
+                self.log.error("sasp_failed", balancer=session.node, error=repr(errors.exceptions[0]),
+                               remedy="send this to the maintainers", exc_info=errors.exceptions[0])
             finally:
                 self._left(session, address, why)
 
@@ -201,14 +204,18 @@
                     async with self.turn:
                         reply = self._handle(session, frame)
                         await anyio.lowlevel.checkpoint()
-                    async with lock:
-                        await stream.send(reply)
+                    await self._send(stream, lock, reply)
                     if (wait := session.meter.wait(self.clock.now())) > 0:
                         await anyio.sleep(wait / self.clock.rate)
             except codec.FrameError as error:
                 self.log.warning("sasp_broken", balancer=session.node, why=str(error))
                 return str(error)
 
+    async def _send(self, stream: SocketStream, lock: anyio.Lock, data: bytes) -> None:
+        with anyio.fail_after(self.clock.seconds(self.settings.sasp.patience)):
+            async with lock:
+                await stream.send(data)
+
     def _handle(self, session: SaspSession, frame: bytes) -> bytes:
         now, stamp, joined = self.clock.now(), self.registry.stamp, session.joined
         reply = session.receive(now, frame)
@@ -235,9 +242,7 @@
             self.streams[session] = anyio.Event()
             while (push := session.compose(self.clock.now())) is not None:
                 self.hub.channel.charge(session.rows)
-                with anyio.fail_after(STUCK):
-                    async with lock:
-                        await stream.send(push)
+                await self._send(stream, lock, push)
                 session.written()
             self.hub.settle(self.clock.now(), session)
             if self.hub.review(session) or self.hub.events:
--- a/damsonpick/settings/model.py
+++ b/damsonpick/settings/model.py
@@ -127,6 +127,7 @@
     groups: int = Field(2000, ge=1)  # of one balancer
     members: int = Field(1000, ge=1)  # of one group
     messages: float = Field(50, gt=0)  # a second, of one session
+    patience: Duration = 10_000_000_000  # that a reply or push may wait for a peer's socket; then its session is ended
     feed: bool = False  # quiesced members drain for all fronts, and the members serve as the last list source
 
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -123,6 +123,20 @@
     assert all("127.0.0.1:9001" not in world.published.open_lines(n) for n in range(6)) and world.open()
 
 
+def test_what_a_failed_module_had_learned_is_handed_on_once_and_not_after_a_second_failure(tmp_path):
+    world = World(tmp_path)
+    world.run(1)
+    world.engine.planner.endpoints["127.0.0.1:9001"].speed = 0.25
+    world.engine.planner.endpoints["127.0.0.1:9001"].heard = 1
+    kept = world.engine.learned()
+    assert [s.speed for s in kept.servers] == [0.25]
+    world.engine._failed(world.now, [], ValueError("first"))
+    world.engine._begin(world.now, learned=world.engine.salvaged)
+    assert world.engine.salvaged is not None
+    world.engine._failed(world.now + 1, [], ValueError("second"))
+    assert world.engine.salvaged is None
+
+
 def test_a_module_that_fails_again_and_again_is_tried_within_a_second_each_time(tmp_path):
     Broken.fail_at, Broken.calls = tuple(range(3, 60)), 0
     world = World(tmp_path, Broken)
--- a/tests/test_sasp_pilot.py
+++ b/tests/test_sasp_pilot.py
@@ -257,7 +257,8 @@
 
 async def test_a_balancer_that_stops_reading_is_ended_and_holds_up_nobody(tmp_path):
     """Its socket takes no more replies; others are answered, drains bind the other front."""
-    async with front(tmp_path) as (made, gates), connect(made.address, b"lb1") as client:
+    more = FRONT.replace("messages = 2000", "messages = 2000\npatience = 2 s")
+    async with front(tmp_path, more=more) as (made, gates), connect(made.address, b"lb1") as client:
         await client.hello()
         await client.register(b"web", ALL)
         many = tuple(member(f"10.1.{k // 200}.{k % 200}:80") for k in range(900))
@@ -283,10 +284,63 @@
                 while any(name(3) in g.holdings.open_lines(n) for g in gates for n in weights(g)):
                     await anyio.sleep(0.02)
             assert told(await client.weights(b"web"))[name(3)].weight == 0
+            await true(lambda: [e["why"] for e in made.pilot.log("balancer_left")] == ["it does not read"])
         finally:
             deaf.close()
 
 
+async def test_two_balancers_with_one_identifier_one_of_them_without_trust(tmp_path):
+    """A member may speak for itself only while every session under that identifier trusts members."""
+    quiesce = SetMemberState(Sender(0), (StatesOf(Group(b"lb1", b"web"), (
+        MemberState(ALL[0], 0, MemberFlag.QUIESCE),)),))
+    async with front(tmp_path) as (made, _), connect(made.address, b"member") as own:
+        assert await own.register(b"web", [ALL[0]], Sender(0)) == Code.NO_BALANCER_YET
+        async with connect(made.address, b"lb1") as one:
+            await one.hello(LbFlag.TRUST)
+            body = Register(Sender(0), (MembersOf(Group(b"lb1", b"web"), (ALL[0],)),))
+            assert (await own.ask(body)).code == Code.OK
+            assert told(await one.weights(b"web"))[name(1)].flags & WeightFlag.REGISTERED
+            async with connect(made.address, b"lb1") as other:
+                await other.hello()
+                assert (await own.ask(quiesce)).code == Code.NOT_FROM_SENDER
+            await true(lambda: len(made.pilot.log("balancer_left")) == 1)
+            assert (await own.ask(quiesce)).code == Code.OK
+            await settled(one, lambda w: w[name(1)].weight == 0, b"web")
+
+
+async def test_duplicates_strangers_and_one_member_by_two_protocols(tmp_path):
+    async with front(tmp_path) as (made, _), connect(made.address, b"lb1") as client:
+        await client.hello()
+        twin = ALL[0]._replace(protocol=17)
+        assert await client.register(b"web", [ALL[0], ALL[0]]) == Code.DUPLICATE_MEMBER
+        assert await client.register(b"web", [ALL[0], twin]) == Code.OK
+        assert await client.register(b"web", [ALL[0]]) == Code.ALREADY_REGISTERED
+        rows = [w for g in (await client.weights(b"web")).groups for w in g.weights]
+        assert len(rows) == 2 and rows[0].weight == rows[1].weight > 0, "one endpoint, one advice"
+        stranger = Deregister(Sender.BALANCER, 0, (MembersOf(Group(b"lb1", b"web"), (ALL[2],)),))
+        assert (await client.ask(stranger)).code == Code.NOT_REGISTERED
+        assert await client.deregister(b"nosuch") == Code.UNKNOWN_GROUP
+        await client.register(b"odd", [member("10.9.9.9:1")])
+        assert told(await client.weights(b"odd"))["10.9.9.9:1"].weight == 0, "listed nowhere: no work for it"
+
+
+async def test_groups_deleted_while_their_pushes_are_written(tmp_path):
+    """Each drain sets off a push; the group goes in the same moment. Nothing of it comes after its deregistration."""
+    pushes = []
+    async with front(tmp_path) as (made, _), connect(made.address, b"lb1", pushes.append) as client:
+        await client.hello(LbFlag.PUSH)
+        for k in range(8):
+            await client.register(b"web", ALL)
+            made.pilot.list(s1="in_service", s2="in_service", s3="terminating" if k % 2 else "in_service")
+            await anyio.sleep(0.02 * (k % 4))
+            assert await client.deregister(b"web") == Code.OK
+            pushes.clear()
+            await anyio.sleep(0.1)
+            assert not pushes
+        assert await client.register(b"web", ALL) == Code.OK
+        assert (await client.weights(b"web")).code == Code.OK
+
+
 async def test_a_poll_while_the_pilot_has_no_list_and_members_that_nobody_knows(tmp_path):
     async with front(tmp_path, gates=0) as (made, _):
         made.pilot.stop()
@@ -315,6 +369,16 @@
         assert len((await client.weights()).groups) == 1
 
 
+async def test_a_group_too_large_for_its_component_is_refused_and_the_session_goes_on(tmp_path):
+    async with front(tmp_path) as (made, _), connect(made.address, b"lb1") as client:
+        await client.hello()
+        wordy = [member(f"10.2.{k // 200}.{k % 200}:80", label=b"x" * 250) for k in range(200)]
+        assert await client.register(b"wordy", wordy) == Code.OK
+        more = [member(f"10.3.{k // 200}.{k % 200}:80", label=b"x" * 250) for k in range(100)]
+        assert await client.register(b"wordy", more) == Code.INVALID_GROUP
+        assert len(told(await client.weights(b"wordy"))) == 200 and not made.pilot.log("sasp_failed")
+
+
 async def test_a_restart_drops_registrations_and_who_does_not_come_back_is_told_so(tmp_path):
     async with front(tmp_path) as (made, gates):
         async with connect(made.address, b"lb1") as client:
