`current` is never without a file: the previous generation is made by a link

Change: `current` is linked, the link renamed to `previous`, then the new one renamed over `current`.

--- a/damsonpick/knowledge/disk.py
+++ b/damsonpick/knowledge/disk.py
@@ -27,6 +27,15 @@
         with path.open("rb+") as file:
             os.fsync(file.fileno())
 
+    def link(self, old: Path, new: Path) -> None:
+        """A second name for a file; what had that name goes. Where the file system has no links: a copy, synced."""
+        new.unlink(missing_ok=True)
+        try:
+            os.link(old, new)
+        except OSError:
+            self.write(new, self.read(old))
+            self.sync(new)
+
     def rename(self, old: Path, new: Path) -> None:
         os.replace(old, new)
 
--- a/damsonpick/knowledge/generations.py
+++ b/damsonpick/knowledge/generations.py
@@ -1,9 +1,11 @@
 """How a snapshot gets to disk so that a cut at any point leaves the previous or the new one. Sans I/O: over a Disk.
 
-    write `part`, sync it; rename `current`, if it is whole, to `previous`; rename `part` to `current`; sync the folder
+    write `part`, sync it; link `current`, if it is whole, and rename the link to `previous`; rename `part` to `current`;
+    sync the folder
 
-A rename is atomic, and the new text is on disk before any rename. Whatever subset of the renames a power cut leaves, at
-least one generation is whole; a reader takes the newest whole one.
+A rename is atomic, and the new text is on disk before any rename. `current` is never without a file: a kill between the
+steps leaves two names for one generation. Whatever subset of the changes of names a power cut leaves, at least one
+generation is whole; a reader takes the newest whole one.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 from damsonpick.knowledge import codec
 from damsonpick.knowledge.model import Snapshot
 
-CURRENT, PREVIOUS, PART = "current", "previous", "current.part"
+CURRENT, PREVIOUS, PART, LINK = "current", "previous", "current.part", "previous.part"
 
 
 class Disk(Protocol):
@@ -23,6 +25,7 @@
     def read(self, path: Path) -> bytes: ...
     def write(self, path: Path, data: bytes) -> None: ...
     def sync(self, path: Path) -> None: ...
+    def link(self, old: Path, new: Path) -> None: ...
     def rename(self, old: Path, new: Path) -> None: ...
     def sync_folder(self, path: Path) -> None: ...
 
@@ -50,14 +53,15 @@
     disk.write(part, data)
     disk.sync(part)
     if rotate:
-        disk.rename(folder / CURRENT, folder / PREVIOUS)
+        disk.link(folder / CURRENT, folder / LINK)
+        disk.rename(folder / LINK, folder / PREVIOUS)
     disk.rename(part, folder / CURRENT)
     disk.sync_folder(folder)
 
 
 def remove(folder: Path) -> int:
     """Forget all generations; returns how many files there were."""
-    files = [p for p in (folder / n for n in (CURRENT, PREVIOUS, PART)) if p.exists()]
+    files = [p for p in (folder / n for n in (CURRENT, PREVIOUS, PART, LINK)) if p.exists()]
     for path in files:
         path.unlink()
     return len(files)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -141,6 +141,13 @@
         inode = self.names[path.name]
         self.data[inode] = self.dirty.pop(inode, self.data[inode])
 
+    def link(self, old, new):
+        self._step()
+        if old.name not in self.names:
+            raise FileNotFoundError(old)
+        self.names[new.name] = self.names[old.name]
+        self.pending.append(("make", new.name, self.names[old.name]))
+
     def rename(self, old, new):
         self._step()
         if old.name not in self.names:
@@ -181,7 +188,7 @@
         before[generations.CURRENT] = before[generations.CURRENT][:-1]
     old = 4 if damaged else 5
     seen, cases = set(), 0
-    for stop, part in [(k, None) for k in range(7)] + [(1, n) for n in range(len(new))]:
+    for stop, part in [(k, None) for k in range(8)] + [(1, n) for n in range(len(new))]:
         disk = CutDisk(before, stop, part)
         rotate = generations.load(disk, FOLDER).which == generations.CURRENT
         try:
