--- a/damsonpick/knowledge/generations.py
+++ b/damsonpick/knowledge/generations.py
@@ -1,7 +1,7 @@
 """How a snapshot gets to disk so that a cut at any point leaves the previous or the new one. Sans I/O: over a Disk.
 
-    write `part`, sync it; link `current`, if it is whole, and rename the link to `previous`; rename `part` to `current`;
-    sync the folder
+    write `part`, sync it; link `current`, if it is whole, and rename the link to `previous`;
+    rename `part` to `current`; sync the folder
 
 A rename is atomic, and the new text is on disk before any rename. `current` is never without a file: a kill between the
 steps leaves two names for one generation. Whatever subset of the changes of names a power cut leaves, at least one
