--- a/benchmarks/sasp.py
+++ b/benchmarks/sasp.py
@@ -169,23 +169,22 @@
         of = psutil.Process(pilot.process.pid)
         await anyio.sleep(1)
         empty, idle = of.memory_info().rss, cpu(of)
+        with crowded(address, False):  # first, while no memory lies free from an earlier crowd
+            await anyio.sleep(1)
+            full, busy = of.memory_info().rss, cpu(of)
+        await anyio.sleep(1)
         quiet = await drains(pilot, address, repeats)
         with crowded(address, True) as process:
             storm = await drains(pilot, address, repeats)
             process.stdin.close()
             rate = float(process.stdout.read().split()[-1])
-        await anyio.sleep(2)
-        before = of.memory_info().rss
-        with crowded(address, False):
-            await anyio.sleep(1)
-            full, busy = of.memory_info().rss, cpu(of)
         medians = {k: (statistics.median(quiet[k]), statistics.median(storm[k])) for k in quiet}
         return {"storm": {
             "balancers": BALANCERS, "polls_per_s": round(rate), **{
                 k: {"quiet": row(quiet[k]), "storm": row(storm[k]),
                     "storm_to_quiet": round(medians[k][1] / medians[k][0], 2)} for k in quiet}},
             "sessions": {"pilot_mib": round(empty / 2**20, 1),
-                         "kib_a_session": round((full - before) / 1024 / BALANCERS, 1),
+                         "kib_a_session": round((full - empty) / 1024 / BALANCERS, 1),
                          "cpu_without": idle, "cpu_with_500_idle": busy}}
     finally:
         pilot.stop()
