--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -188,7 +188,7 @@
         self.allow, self.best, self.cut_at = math.inf, 0.0, 0  # answers/s allowed, seen at best; last cut
         self.advised = 0.0  # answers/s that the fleet can give, as reckoned outside; 0: not known
         self.pace, self.admitted = 0.0, 1.0  # best answers/s for each unit of capacity; share let in
-        self.taken_over = False  # levels of an earlier life are in force and not yet weighed
+        self.taken_over = self.hearsay = False  # levels of an earlier life not weighed yet; best not tried
         self.changed, self.landed, self.over = True, True, 0.0
         self.out: list[api.Action] = []
 
@@ -458,12 +458,14 @@
         late = next((time for time, n in views if (seen := seen + n) >= half), 0.0) / self.aim
         rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
         if self.taken_over:  # what the levels of the earlier life let in is the first allowance
-            self.taken_over, self.best = False, min(self.best, RECALL_MOST * good)
+            self.taken_over, self.hearsay = False, True
             if min(self.level) < 1:
                 self.allow = sum(level * rate for level, rate in zip(self.level, rates, strict=True))
         self.best = max(good, self.best * BEST_KEPT)
         if late > SHED_LATENCY:
             if self.now - self.cut_at > CUT_HOLD:
+                if self.hearsay:  # it may lead the way back, not the cut: one too high would not cut at all
+                    self.hearsay, self.best = False, min(self.best, RECALL_MOST * good)
                 cut, self.cut_at = max(CUT_LEAST, 1 - CUT_DEPTH * late), self.now
                 self.allow = max(1.0, cut * max(good, KNOWN * self.best))
         elif late > CALM_LATENCY and self.advised and sum(rates) > self.advised:  # before answers are late
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -337,6 +337,24 @@
     assert world.planner.wanted == (1.0, 1.0), "and it grows back"
 
 
+def test_a_recalled_best_leads_the_way_back_fast_and_does_not_blunt_the_first_cut():
+    """Shed far too deep before the restart: with the best capped at once it came back by 4% a second alone."""
+    def back(best):
+        world = World("pqrs", slices=12, proxies=0)
+        world.tell(api.FleetRecalled((0.1, 0.1), (), best, 2.0))
+        world.proxies = [0, 1]
+        world.tell(api.ProxyJoined(0, "a", 5.0, False), api.ProxyJoined(1, "a", 5.0, False))
+        # calm, but not so calm that growth is sure by itself
+        world.run(6, latency=dict.fromkeys("pqrs", 200), rate=40, tries=12)
+        return world
+
+    assert back(240.0).planner.allow > 1.3 * back(0.0).planner.allow
+    world = back(5000.0)
+    world.run(2, latency=dict.fromkeys("pqrs", 900), rate=40, tries=12)
+    good = sum(ep.rate for ep in world.planner.endpoints.values())
+    assert world.planner.best <= 1.6 * good and world.planner.allow <= 1.2 * good
+
+
 def test_a_withdrawal_of_an_earlier_life_is_lifted_once_the_list_lets_it_in():
     world = World("pqrs", slices=12)
     world.planner.shut.clear()
