A SASP address that is taken is said with its setting, before anything else is open

Cause: read once more: the error would have come out of a task group as a traceback, or named the wrong setting.

--- a/benchmarks/knowledge_restart.py
+++ b/benchmarks/knowledge_restart.py
@@ -116,9 +116,7 @@
 
     outcome = player.judge(folder, player.limits(load(stage.settings_file)))
     done = [e for e in player.records(folder) if e["e"] == "done" and at <= e["begun"] < at + WINDOW * SECOND]
-    asked = sum(e["worth"] for e in done)
-    served = sum(e["worth"] for e in done if e["ok"] and e["ms"] <= e["aim"])
-    return {"scenario": scenario, "arm": arm, "seed": seed, "service": served / asked, "requests": len(done),
+    return {"scenario": scenario, "arm": arm, "seed": seed, "service": player.service(done), "requests": len(done),
             "kept": outcome.kept, "broken": [r.name for r in outcome.rules if r.breaches]}
 
 
--- a/damsonpick/cli/main.py
+++ b/damsonpick/cli/main.py
@@ -66,6 +66,7 @@
     from damsonpick.daemon.logs import configure
     from damsonpick.daemon.pilot import Pilot
     from damsonpick.knowledge.disk import LockError
+    from damsonpick.sasp.server import FrontError
     from damsonpick.store.sqlite import StoreError
     from damsonpick.wire import portfile
 
@@ -83,7 +84,7 @@
 
     try:
         anyio.run(life)
-    except (StoreError, LockError) as error:
+    except (StoreError, LockError, FrontError) as error:
         click.echo(str(error), err=True)
         sys.exit(WRONG)
     except (RuntimeError, OSError) as error:
--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -101,6 +101,8 @@
         self.listing.begin(learned, away)
         self.remembering.answered = self.listing.trust.answered
         s = self.settings
+        if self.sasp is not None:
+            await self.sasp.open()
         server, self.port = await self.xds.start(self.settings.listen.xds, self.settings.listen.largest_request)
         self.log.info("pilot_started", name=self.settings.pilot.name, port=self.port, epoch=self.epoch,
                       slices=len(self.engine.owned), listed=len(self.roster.entries))
@@ -111,7 +113,7 @@
                 group.start_soon(self._reports)
                 group.start_soon(self._custody)
                 if self.sasp is not None:
-                    await group.start(self.sasp.run)
+                    group.start_soon(self.sasp.run)
                 group.start_soon(self._drive)
                 if s.knowledge.keep:
                     group.start_soon(self.remembering.run, self.engine)
--- a/damsonpick/sasp/server.py
+++ b/damsonpick/sasp/server.py
@@ -30,6 +30,10 @@
 HEARD = 10_000_000_000  # ns within which evidence counts as lately
 
 
+class FrontError(Exception):
+    """The front cannot be opened; the text names setting and remedy."""
+
+
 class SaspServer:
     """Args: settings, hub, engine, clock of one pilot; stir: wakes its loop; feed: takes what members say of themselves
     as list entries; log: structlog."""
@@ -46,6 +50,7 @@
         self.addresses: dict[str, int] = {}
         self.turn = anyio.Semaphore(AT_ONCE)
         self.port = 0
+        self.listener: anyio.abc.Listener | None = None
         self.fed: dict[str, bool] = {}
         self.stamp = 0
         self.about: dict[str, weights.Known] = {}
@@ -88,15 +93,27 @@
 
     # -- life
 
-    async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
-        host, _, port = self.settings.sasp.listen.rpartition(":")
-        listener = await anyio.create_tcp_listener(local_host=host.strip("[]"), local_port=int(port))
-        self.port = listener.extra(SocketAttribute.local_port)
+    async def open(self) -> None:
+        """Listen.
+
+        Raises:
+            FrontError: the address cannot be had.
+        """
+        address = self.settings.sasp.listen
+        host, _, port = address.rpartition(":")
+        try:
+            self.listener = await anyio.create_tcp_listener(local_host=host.strip("[]"), local_port=int(port))
+        except OSError as error:
+            raise FrontError(f"[sasp] listen = {address}: cannot be opened ({error}); free the port or choose "
+                             "another") from None
+        self.port = self.listener.extra(SocketAttribute.local_port)
         self.log.info("sasp_open", port=self.port)
-        async with anyio.create_task_group() as group:
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with self.listener, anyio.create_task_group() as group:
             group.start_soon(self._look)
-            task_status.started()
-            await listener.serve(self._serve)
+            await self.listener.serve(self._serve)
 
     async def _look(self) -> None:
         """Registrations that expire, and advice that moves without a table: heat, evidence, the list."""
--- a/tests/test_sasp_pilot.py
+++ b/tests/test_sasp_pilot.py
@@ -451,6 +451,20 @@
     assert done.returncode == 3 and "no manager answers" in done.stderr
 
 
+def test_an_address_that_is_taken_is_said_with_its_setting(tmp_path):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        pilot = Pilot(tmp_path)
+        pilot.file.write_text(pilot.file.read_text() + f"[sasp]\nlisten = 127.0.0.1:{port}\n")
+        pilot.list(s1="in_service")
+        done = subprocess.run([sys.executable, "-m", "damsonpick", "run", str(pilot.file)], capture_output=True,
+                              text=True, timeout=30)
+    assert done.returncode == 2 and f"[sasp] listen = 127.0.0.1:{port}" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
 def test_settings_of_the_front_are_checked_whole(tmp_path):
     pilot = Pilot(tmp_path)
     text = pilot.file.read_text()
