Two different generations at every moment: the link is renamed last

A test of names left out saw, on a busy machine, a response sent before the pilot had read the change. Change: link, rename the new one over `current`, rename the link to `previous`; that test waits for what was under way.

--- a/damsonpick/knowledge/generations.py
+++ b/damsonpick/knowledge/generations.py
@@ -1,11 +1,11 @@
 """How a snapshot gets to disk so that a cut at any point leaves the previous or the new one. Sans I/O: over a Disk.
 
-    write `part`, sync it; link `current`, if it is whole, and rename the link to `previous`;
-    rename `part` to `current`; sync the folder
+    write `part`, sync it; link `current`, if it is whole; rename `part` to `current`;
+    rename the link to `previous`; sync the folder
 
-A rename is atomic, and the new text is on disk before any rename. `current` is never without a file: a kill between the
-steps leaves two names for one generation. Whatever subset of the changes of names a power cut leaves, at least one
-generation is whole; a reader takes the newest whole one.
+A rename is atomic, and the new text is on disk before any rename. At every moment `current` and `previous` are two
+different generations, so that damage to one leaves the other, whatever subset of the changes of names a power cut
+leaves; a reader takes the newest whole one.
 """
 
 from __future__ import annotations
@@ -54,8 +54,9 @@
     disk.sync(part)
     if rotate:
         disk.link(folder / CURRENT, folder / LINK)
-        disk.rename(folder / LINK, folder / PREVIOUS)
     disk.rename(part, folder / CURRENT)
+    if rotate:
+        disk.rename(folder / LINK, folder / PREVIOUS)
     disk.sync_folder(folder)
 
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -204,6 +204,9 @@
                     found = generations.load(CutDisk(files, 99), FOLDER).snapshot
                     assert found is not None and found.sequence in (old, 6), (stop, part, kept, torn)
                     assert not done or found.sequence == 6, "what was said to be written is there"
+                    if not damaged:
+                        del files[generations.CURRENT]
+                        assert generations.load(CutDisk(files, 99), FOLDER).snapshot.sequence in (4, 5), "a second one"
                     seen.add(found.sequence)
                     cases += 1
     assert seen == {old, 6} and cases > 1000
--- a/tests/test_xds_hard_cases.py
+++ b/tests/test_xds_hard_cases.py
@@ -357,6 +357,7 @@
     last = (client.settle() or [last])[-1]
     client.names[EDS] = ["slice/1"]
     client.answer(last)
+    client.settle(1.0)  # what was under way before the pilot read that
     pilot.list(s1="terminated", s2="terminated", s3="in_service")
     got = client.until(lambda: client.tables["slice/1"] == {name(3)})
     assert {key for g in got for key, _, _ in client.read(g)} <= {"slice/1"}
