When servers last answered is handed over once, after the kept list is known

Cause: read once more. It was set at construction too, to a mapping that the start replaces. Measured: the restart tests that rest on it pass; nothing else changes.

--- a/damsonpick/daemon/pilot.py
+++ b/damsonpick/daemon/pilot.py
@@ -84,7 +84,7 @@
         self.listing = Listing(s, self.clock, self.roster, self.engine, self.evidence, self.store, self.stir, log)
         if s.sasp.listen is not None:
             self.sasp = SaspServer(s, self.hub, self.engine, self.clock, self.stir, self.listing.members, log)
-        self.remembering.vouched, self.remembering.answered = self.listing.vouched, self.listing.trust.answered
+        self.remembering.vouched = self.listing.vouched
         self.listing.changed = self._replan
 
     def stir(self) -> None:
