--- /dev/null
+++ b/damsonpick/edge/__main__.py
@@ -0,0 +1,27 @@
+"""`python -m damsonpick.edge`: one pilot on the platform's protocol, in the foreground."""
+
+from __future__ import annotations
+
+import sys
+
+import anyio
+
+from damsonpick.daemon import logs
+from damsonpick.edge import config
+from damsonpick.edge.pilot import Pilot
+
+
+def main() -> int:
+    """Serve until SIGTERM; 2 if the configuration cannot be used."""
+    log = logs.configure("json", "info")
+    try:
+        pilot = Pilot(config.read(), log)
+        anyio.run(pilot.run, backend="asyncio", backend_options={"use_uvloop": True})
+    except config.ConfigError as error:
+        log.error("not_started", why=str(error))
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/damsonpick/edge/beliefs.py
@@ -0,0 +1,48 @@
+"""One bounded line a second of what the pilot believes, to lay beside what crossed the sockets."""
+
+from __future__ import annotations
+
+import resource
+from typing import TYPE_CHECKING, Any
+
+from damsonpick.choice import Planner
+
+if TYPE_CHECKING:
+    from damsonpick.edge.pilot import Pilot
+
+MOST = 40  # servers named in a line
+
+
+class Beliefs:
+    """Args: log: a structlog logger."""
+
+    def __init__(self, log: Any) -> None:
+        self.log = log
+        self.reports = self.steps = 0
+        self.longest = 0  # ns of one step since the last line
+
+    def stepped(self, began: int, ended: int) -> None:
+        self.steps += 1
+        self.longest = max(self.longest, ended - began)
+
+    def say(self, planner: Planner, pilot: Pilot) -> None:
+        """Say it, and begin anew."""
+        load = planner.loads(planner.endpoints)
+        lines: dict[str, int] = {}
+        for table in pilot.registry.tables.values():
+            for name in table:
+                lines[name] = lines.get(name, 0) + 1
+        named = sorted(load, key=load.__getitem__, reverse=True)[:MOST]
+        servers = {n: f"{e.state[:2]} heat={load[n]:.1f} lines={lines.get(n, 0)} speed={e.speed:.2f} "
+                      f"ms={e.latency / 1e6:.0f} ok={e.sound:.2f}" for n, e in
+                   ((n, planner.endpoints[n]) for n in named)}
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.log.info(
+            "beliefs", proxies=len(planner.channel.proxies), slices=len(planner.slices), level=planner.level,
+            allow=None if planner.allow == float("inf") else round(planner.allow, 1),
+            flights=len(planner.channel.flights),
+            waiting=len(pilot.orders.waiting), dirty=len(planner.dirty), reports=self.reports, steps=self.steps,
+            longest_ms=self.longest // 1_000_000, calls=pilot.calls.made, unknown=pilot.calls.unknown,
+            callers=len(pilot.door.callers), endpoints=len(planner.endpoints),
+            cpu_s=round(usage.ru_utime + usage.ru_stime, 2), peak_mb=usage.ru_maxrss // 1024, servers=servers)
+        self.reports = self.steps = self.longest = 0
--- /dev/null
+++ b/damsonpick/edge/calls.py
@@ -0,0 +1,113 @@
+"""Carries orders to the relay: one call at a time, over one connection."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import anyio
+
+from damsonpick import interface as api
+from damsonpick.edge import http
+from damsonpick.edge.config import Address
+from damsonpick.edge.orders import Call, Order, Orders, read_answer
+from damsonpick.edge.relay import Registry
+from damsonpick.roster.redial import Redial
+
+CONNECT = 0.3  # s
+ANSWER = 0.16  # s; an answer comes within 50 ms or never, and the loop may be late itself
+KEEP = 3.0  # s for which an idle connection is used again; the relay closes one after some ten
+FIRST, MOST = 0.03, 0.4  # s between tries
+SYNTAX_MOST = 3  # tries of a call that the relay calls malformed
+
+
+class Calls:
+    """Args:
+    address: of the relay.
+    orders, registry: what waits, and what stands.
+    tell: takes events for the module.
+    """
+
+    def __init__(self, address: Address, orders: Orders, registry: Registry, tell: Callable[..., None],
+                 rng: random.Random, log: Any) -> None:
+        self.caller = http.Caller(address, KEEP)
+        self.orders, self.registry, self.tell, self.log = orders, registry, tell, log
+        self.redial = Redial(rng, FIRST, MOST)
+        self.bell = anyio.Event()
+        self.made = self.unknown = self.malformed = 0
+
+    def push(self, orders: Iterable[Order]) -> None:
+        """Orders of one step of the module."""
+        self.orders.push(orders)
+        self.bell.set()
+
+    def point(self, address: Address) -> None:
+        """Call this address from now on; the call under way ends where it began."""
+        self.caller = http.Caller(address, KEEP)
+        self.redial.succeeded()
+        self.bell.set()
+
+    async def run(self) -> None:
+        while True:
+            self.bell = anyio.Event()
+            if not self.orders.waiting:
+                await self.bell.wait()
+                continue
+            caller = self.caller
+            if not await self._once(caller):
+                await anyio.sleep(self.redial.failed())
+            if caller is not self.caller:
+                await caller.close()
+
+    async def _once(self, caller: http.Caller) -> bool:
+        """One try at the oldest orders; whether the next may follow at once."""
+        try:
+            await caller.connect(CONNECT)
+        except http.Broken as error:
+            self.log.warning("relay_not_reached", why=str(error), waiting=len(self.orders.waiting))
+            return False
+        call = self.orders.call()
+        if call is None:
+            return True
+        self.made += 1
+        try:
+            _, body = await caller.call("POST", "/txn", call.body, ANSWER)
+        except http.Broken as error:
+            return self._nobody_knows(str(error))
+        return await self._answered(caller, call, body)
+
+    def _nobody_knows(self, why: str) -> bool:
+        """Carried out once or not at all: said again, with what has come since."""
+        self.unknown += 1
+        self.orders.again()
+        self.log.warning("call_outcome_unknown", why=why, waiting=len(self.orders.waiting))
+        return False
+
+    async def _answered(self, caller: http.Caller, call: Call, body: bytes) -> bool:
+        answer = read_answer(body, len(call.orders))
+        if answer is None:
+            await caller.close()
+            return self._nobody_knows(f"unreadable answer {body[:80]!r}")
+        if answer.taken is None:
+            return self._rejected(call, answer.error)
+        stand, refused = self.orders.taken(answer.taken)
+        self.registry.carried_out(stand)
+        if refused is not None:
+            self.log.warning("order_refused", order=repr(refused), at=answer.taken, of=len(call.orders))
+            self.tell(*self.registry.refused(refused))
+        self.redial.succeeded()
+        self.malformed = 0
+        return True
+
+    def _rejected(self, call: Call, error: str) -> bool:
+        self.orders.again()
+        if error == "SYNTAX":
+            self.malformed += 1
+            self.log.error("call_malformed", tries=self.malformed, body=call.body[:400].decode("utf-8", "replace"))
+            if self.malformed >= SYNTAX_MOST:  # guards against one call that blocks all others for good
+                self.malformed = 0
+                self.orders.drop(call.orders)
+                self.tell(*(e for order in call.orders for e in self.registry.refused(order)
+                            if isinstance(order, api.SetLine)))
+        return False
--- /dev/null
+++ b/damsonpick/edge/pilot.py
@@ -0,0 +1,310 @@
+"""The pilot on the platform's protocol: sockets, signals and timers round the loop that drives the module.
+
+Every decision is the module's; what is read, checked, merged or compared is done by the sans-I/O parts beside this.
+"""
+
+from __future__ import annotations
+
+import errno
+import random
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+
+from damsonpick import interface as api
+from damsonpick.choice import Planner
+from damsonpick.edge import config as cfg
+from damsonpick.edge import discovery, door, http, messages
+from damsonpick.edge.beliefs import Beliefs
+from damsonpick.edge.calls import Calls
+from damsonpick.edge.orders import MARKS, Orders
+from damsonpick.edge.relay import Registry, Standing
+from damsonpick.edge.watches import Follower
+from damsonpick.engine.clock import Clock
+from damsonpick.engine.loop import Loop, Step
+
+GATHER = 0.004  # s: what happens within it is handed over in one step
+NEWS_SILENCE = 2.4  # s; a sign of life is due every second
+LIST_SILENCE = 3.2  # s; one is due every two
+READY_WITHIN = 1.0  # s after which signs of life are given although the relay or discovery has not spoken
+WRITE_WITHIN = 1.0  # s that an answer may wait for its reader
+READ = 65_536
+
+
+class NewsReader:
+    """One watch of the relay's news. What stands comes first and ends with the first sign of life."""
+
+    def __init__(self, pilot: Pilot) -> None:
+        self.pilot = pilot
+        self.first: Standing | None = Standing()
+
+    def path(self) -> str:
+        return "/watch"
+
+    def take(self, lines: list[bytes]) -> bool:
+        for line in filter(None, lines):
+            try:
+                news = messages.decode_news(line)
+            except messages.Spoilt as error:
+                self.pilot.doubts.add("news", str(error))
+                continue
+            except messages.Unreadable as error:
+                raise http.Broken(f"news: {error}") from None
+            self._one(news)
+        return self.first is None
+
+    def _one(self, news: messages.News) -> None:
+        registry = self.pilot.registry
+        if self.first is None:
+            self.pilot.tell(*registry.news(news))
+        elif isinstance(news, messages.Beat):
+            standing, self.first = self.first, None
+            self.pilot.log.info("relay_stands", proxies=len(standing.members), slices=len(standing.tables))
+            self.pilot.tell(*registry.reconcile(standing))
+            self.pilot.spoke("relay")
+        else:
+            self.first.take(news)
+
+
+class ListReader:
+    """One watch of discovery's list, from the version that is known."""
+
+    def __init__(self, pilot: Pilot) -> None:
+        self.pilot, self.heard = pilot, False
+
+    def path(self) -> str:
+        return f"/catalog/members?watch=1&from={self.pilot.roster.version}"
+
+    def take(self, lines: list[bytes]) -> bool:
+        for line in filter(None, lines):
+            try:
+                listing = discovery.decode(line)
+                event = self.pilot.roster.take(listing)
+            except discovery.ListingError as error:
+                self.pilot.roster.version = 0  # ask for the whole list: a change may be lost in this line
+                raise http.Broken(f"list: {error}") from None
+            for doubt in listing.doubts:
+                self.pilot.doubts.add("list", doubt)
+            self.pilot.tell(event)
+        if not self.heard:
+            self.heard = True
+            self.pilot.spoke("discovery")
+        return True
+
+
+class Pilot:
+    """One pilot, from its configuration to open sockets.
+
+    Args:
+        config: checked.
+        log: a structlog logger.
+        make: how a planner is made; tests hand in ones that fail.
+    """
+
+    def __init__(self, config: cfg.Config, log: Any,
+                 make: Callable[[api.Settings, int], Planner] = Planner) -> None:
+        self.config, self.log, self.make = config, log, make
+        self.clock = Clock()
+        self.rng = random.Random(config.seed)
+        self.loop = Loop(log)
+        self.doubts = Doubts(log)
+        self.roster = discovery.Roster(config.known)
+        names = tuple(c.name for c in config.settings.classes)
+        self.orders = Orders(names, self.rng.randrange(MARKS))
+        self.registry = Registry(self.orders, config.settings.proxies, config.settings.slices)
+        self.reports = messages.Reports(config.settings, config.zones)
+        self.door = door.Door(config.sockets)
+        self.scopes: dict[door.Caller, anyio.CancelScope] = {}
+        self.calls = Calls(config.registry, self.orders, self.registry, self.tell, self.rng, log)
+        self.news = Follower("news", NEWS_SILENCE, lambda: NewsReader(self), self.rng, log)
+        self.list = Follower("list", LIST_SILENCE, lambda: ListReader(self), self.rng, log)
+        self.beliefs = Beliefs(log)
+        self.bell = anyio.Event()
+        self.unheard = {"relay", "discovery"}
+        self.ready = anyio.Event()
+
+    # -- what happens
+
+    def tell(self, *events: api.Event) -> None:
+        """Events for the next step."""
+        if events:
+            self.loop.tell(*events)
+            self.bell.set()
+
+    def spoke(self, who: str) -> None:
+        """The relay or discovery has told what stands; with both, the pilot can serve."""
+        self.unheard.discard(who)
+        if not self.unheard and not self.ready.is_set():
+            self.log.info("ready")
+            self.ready.set()
+
+    # -- life
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            self._begin()
+            listener = await self._open()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._listen, listener, group)
+                self.news.point(group, self.config.registry)
+                self.list.point(group, self.config.discovery)
+                group.start_soon(self.calls.run)
+                group.start_soon(self._drive)
+                group.start_soon(self._believe)
+                group.start_soon(self._late)
+                self.log.info("pilot_started", name=self.config.name, known=len(self.config.known.entries),
+                              version=self.config.known.version)
+                async for number in signals:
+                    if number == signal.SIGTERM:
+                        break
+                    self._reload(group)
+                group.cancel_scope.cancel()
+        self.log.info("pilot_ended", name=self.config.name)
+
+    def _begin(self) -> None:
+        """A planner, told the list and, in place of one that failed, what stands."""
+        events = [*self.roster.begin(), *self.registry.begin()]
+        self.loop.begin_with(self.make(self.config.settings, self.rng.getrandbits(48)), events)
+
+    def _reload(self, group: TaskGroup) -> None:
+        """SIGHUP: read the file again. One that can't be used is refused whole, and what was read before holds."""
+        try:
+            new = cfg.read()
+        except cfg.ConfigError as error:
+            self.log.error("configuration_refused", why=str(error), remedy="mend the file and send SIGHUP again")
+            return
+        old, self.config = self.config, new
+        self.log.info("configuration_read", registry=f"{new.registry.host}:{new.registry.port}",
+                      discovery=f"{new.discovery.host}:{new.discovery.port}")
+        if new.registry != old.registry:
+            self.calls.point(new.registry)
+            self.news.point(group, new.registry)
+        if new.discovery != old.discovery:
+            self.list.point(group, new.discovery)
+        if new.settings != old.settings or (new.name, new.listen) != (old.name, old.listen):
+            self.config = new._replace(settings=old.settings, zones=old.zones, name=old.name, listen=old.listen)
+            self.log.warning("configuration_needs_restart", why="settings, name or listen differ; the former hold")
+
+    async def _late(self) -> None:
+        """A relay or a discovery that is away must not keep the pilot from being put to use."""
+        await anyio.sleep(READY_WITHIN)
+        if not self.ready.is_set():
+            self.log.warning("ready_without", unheard=sorted(self.unheard))
+            self.ready.set()
+
+    # -- the loop
+
+    async def _drive(self) -> None:
+        while True:
+            self.bell = anyio.Event()
+            now = self.clock.now()
+            if self.loop.planner is None and now >= self.loop.restart_at:
+                self._begin()
+            if self.loop.planner is not None:
+                step = self.loop.advance(now)
+                if step is not None:
+                    self._carry_out(step)
+            self.beliefs.stepped(now, self.clock.now())
+            await anyio.sleep(GATHER)
+            if self.loop.planner is not None and self.loop.inbox:
+                continue
+            due = self.loop.next_step()
+            pause = None if due is None else max(0.001, self.clock.seconds(due - self.clock.now()))
+            with anyio.move_on_after(pause):
+                await self.bell.wait()
+
+    def _carry_out(self, step: Step) -> None:
+        """Orders go to the relay. A list that is wanted is on its way: it is watched at all times."""
+        orders = [a for a in step.actions
+                  if isinstance(a, api.SetLine | api.ClearTable | api.Withdraw | api.Admit | api.Mark)]
+        if orders:
+            self.calls.push(orders)
+
+    async def _believe(self) -> None:
+        while True:
+            await anyio.sleep(1.0)
+            if self.loop.planner is not None:
+                self.beliefs.say(self.loop.planner, self)
+
+    # -- the address
+
+    async def _open(self) -> Any:
+        host, port = self.config.listen
+        try:
+            made = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=1024)
+        except OSError as error:
+            raise cfg.ConfigError(f"listen: {host}:{port}: {error.strerror or error}: "
+                                  "another program has it, or it is not this machine's") from None
+        return made.listeners[0]
+
+    async def _listen(self, listener: Any, group: TaskGroup) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS, errno.ENOMEM):
+                    raise
+                self.doubts.add("accept", str(error))
+                self._turn_out(next((c for c in self.door.callers if not c.zone), None))
+                await anyio.sleep(0.05)  # running out must neither spin nor stop accepting for good
+                continue
+            caller = door.Caller(self.reports)
+            self.scopes[caller] = anyio.CancelScope(deadline=anyio.current_time() + door.JOIN_WITHIN)
+            self._turn_out(self.door.enter(self.clock.now(), caller))
+            group.start_soon(self._attend, caller, stream)
+
+    def _turn_out(self, caller: door.Caller | None) -> None:
+        if caller in self.scopes:
+            self.scopes[caller].cancel()
+
+    async def _attend(self, caller: door.Caller, stream: SocketStream) -> None:
+        try:
+            with self.scopes[caller]:
+                while True:
+                    await self._hear(caller, stream, await stream.receive(READ))
+        except door.Turned as error:
+            self.doubts.add("turned away", f"{caller.zone or 'stranger'}: {error.args[0]}")
+            if len(error.args) > 1:
+                self.tell(*error.args[1].events)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, http.Broken):
+            pass  # gone
+        except Exception as error:  # one connection must not end the pilot
+            self.log.error("connection_failed", error=repr(error), exc_info=error)
+        finally:
+            self.scopes.pop(caller, None)
+            self.door.leave(caller)
+            await anyio.aclose_forcefully(stream)
+
+    async def _hear(self, caller: door.Caller, stream: SocketStream, data: bytes) -> None:
+        new = not caller.zone
+        heard = caller.feed(self.clock.now(), data)
+        if new and caller.zone:
+            self.scopes[caller].deadline = float("inf")
+            for former in self.door.joined(caller):
+                self._turn_out(former)
+        for why in heard.spoilt:
+            self.doubts.add("report", why)
+        self.beliefs.reports += len(heard.events)
+        self.tell(*heard.events)
+        if heard.beats:
+            await self.ready.wait()
+            await http.send(stream, door.ALIVE * heard.beats, WRITE_WITHIN)
+
+
+class Doubts:
+    """Says what was dropped and why, a bounded number of times a kind; the rest is counted."""
+
+    MOST = 30
+
+    def __init__(self, log: Any) -> None:
+        self.log = log
+        self.counts: dict[str, int] = {}
+
+    def add(self, kind: str, why: str) -> None:
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        if self.counts[kind] <= self.MOST or self.counts[kind] % 100 == 0:
+            self.log.warning("dropped", kind=kind, why=why[:200], so_far=self.counts[kind])
--- /dev/null
+++ b/damsonpick/edge/relay.py
@@ -0,0 +1,167 @@
+"""What the relay holds for this pilot, as its news tell: proxies, slices and their lines. Sans I/O.
+
+A watch begins with what stands. `Standing` gathers that part; `Registry` lays it beside what the module believes and
+tells the difference, as what happened while no watch was open is told nowhere else.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from damsonpick import interface as api
+from damsonpick.edge import messages
+from damsonpick.edge.orders import Order, Orders, apply
+
+MS = 1_000_000
+
+
+class Member(NamedTuple):
+    """A joined proxy."""
+
+    zone: str
+    weight: float
+    fresh: bool
+
+
+class Standing:
+    """The first part of a watch."""
+
+    def __init__(self) -> None:
+        self.members: dict[int, Member] = {}
+        self.tables: dict[int, dict[str, float]] = {}
+
+    def take(self, news: messages.News) -> None:
+        if isinstance(news, messages.Attach):
+            self.members[news.proxy] = Member(news.zone, news.weight, news.fresh)
+        elif isinstance(news, messages.Detach):
+            self.members.pop(news.proxy, None)
+        elif isinstance(news, messages.Owner):
+            self.tables.pop(news.slice, None)
+            if news.on:
+                self.tables[news.slice] = {}
+        elif isinstance(news, messages.Entry) and news.weight > 0:
+            self.tables.setdefault(news.slice, {})[news.server] = news.weight
+
+
+class Registry:
+    """What the module believes of the relay.
+
+    Args:
+        orders: what waits to be taken.
+        proxies, slices: how many there are.
+    """
+
+    def __init__(self, orders: Orders, proxies: int, slices: int) -> None:
+        self.orders, self.proxies, self.slices = orders, proxies, slices
+        self.members: dict[int, Member] = {}
+        self.tables: dict[int, dict[str, float]] = {}
+        self.levels: dict[int, float] = {}  # by class, as taken for all tables
+        self.shut: dict[str, bool] = {}  # withdrawals that were taken
+
+    # -- news
+
+    def begin(self) -> list[api.Event]:
+        """What a new planner is told in place of one that failed. Proxies keep what the former one withdrew."""
+        events: list[api.Event] = []
+        for number, lines in self.tables.items():
+            events += self._given(number, self.orders.overlay(number, lines))
+        if self.shut or min(self.levels.values(), default=1.0) < 1:
+            levels = tuple(self.levels.get(k, 1.0) for k in range(len(self.orders.classes)))
+            events.append(api.FleetRecalled(levels, tuple(self.shut), 0.0, 0.0))
+        return events + [api.ProxyJoined(n, m.zone, m.weight, False) for n, m in self.members.items()]
+
+    def reconcile(self, standing: Standing) -> list[api.Event]:
+        """What stands, against what is believed.
+
+        A proxy that was joined before may have left and come back in between: the module hears both, since its
+        marks and the orders sent meanwhile may be lost.
+        """
+        events: list[api.Event] = []
+        for number in [n for n in self.tables if n not in standing.tables]:
+            events += self._own(messages.Owner(number, False))
+        for number, lines in standing.tables.items():
+            if number not in range(self.slices):
+                continue
+            wanted = self.orders.overlay(number, lines)
+            believed = self.tables.get(number)
+            if believed is None or self.orders.overlay(number, believed) != wanted:
+                events += self._given(number, wanted)
+            self.tables[number] = lines
+        before, self.members = self.members, {}
+        events += [api.ProxyLeft(n) for n in before]
+        for number, member in standing.members.items():
+            fresh = member.fresh and number not in before
+            events += self._join(messages.Attach(number, member.zone, fresh, member.weight))
+        return events
+
+    def news(self, news: messages.News) -> list[api.Event]:
+        """The events that a line of news is, after the first part."""
+        if isinstance(news, messages.Attach):
+            return self._join(news)
+        if isinstance(news, messages.Detach):
+            return [api.ProxyLeft(news.proxy)] if self.members.pop(news.proxy, None) else []
+        if isinstance(news, messages.Done):
+            mark, delay = self.orders.mark_of(news.mark), int(news.took_ms * MS)
+            return [api.Applied(mark, news.proxy, delay)] if news.proxy in self.members else []
+        if isinstance(news, messages.Owner):
+            return self._own(news)
+        return self._line(news) if isinstance(news, messages.Entry) else []
+
+    def _join(self, news: messages.Attach) -> list[api.Event]:
+        if news.proxy >= self.proxies:
+            return []
+        again = [api.ProxyLeft(news.proxy)] if news.proxy in self.members else []
+        self.members[news.proxy] = Member(news.zone, news.weight, news.fresh)
+        return [*again, api.ProxyJoined(news.proxy, news.zone, news.weight, news.fresh)]
+
+    def _own(self, news: messages.Owner) -> list[api.Event]:
+        if news.slice >= self.slices:
+            return []
+        # An order that was meant for an earlier charge must not come to life in a later one.
+        self.orders.forget(news.slice)
+        if news.on:
+            self.tables[news.slice] = {}
+        else:
+            self.tables.pop(news.slice, None)
+        return [api.CustodyChanged(news.slice, news.on)]
+
+    def _line(self, news: messages.Entry) -> list[api.Event]:
+        lines = self.tables.get(news.slice)
+        if lines is None or lines.get(news.server, 0.0) == news.weight:
+            return []
+        if news.weight <= 0:
+            del lines[news.server]
+            return self._given(news.slice, self.orders.overlay(news.slice, lines))
+        lines[news.server] = news.weight
+        return [api.StoredLine(news.slice, news.server, news.weight)]
+
+    @staticmethod
+    def _given(number: int, lines: dict[str, float]) -> list[api.Event]:
+        return [api.CustodyChanged(number, True),
+                *(api.StoredLine(number, name, weight) for name, weight in lines.items())]
+
+    # -- orders
+
+    def carried_out(self, orders: tuple[Order, ...]) -> None:
+        """Orders that the relay has taken."""
+        for order in orders:
+            if isinstance(order, api.SetLine) and order.table in self.tables:
+                apply(self.tables[order.table], order)
+            elif isinstance(order, api.ClearTable) and order.table in self.tables:
+                self.tables[order.table].clear()
+            elif isinstance(order, api.Withdraw):
+                self._shut(order)
+            elif isinstance(order, api.Admit) and order.table is None:
+                self.levels.update((k, order.level) for k in order.classes or range(len(self.orders.classes)))
+
+    def _shut(self, order: api.Withdraw) -> None:
+        if order.out:
+            self.shut[order.endpoint] = True
+        else:
+            self.shut.pop(order.endpoint, None)
+
+    def refused(self, order: Order) -> list[api.Event]:
+        """An order the relay would not take: the module is told the table as it is, to decide anew."""
+        if isinstance(order, api.SetLine) and order.table in self.tables:
+            return self._given(order.table, self.orders.overlay(order.table, self.tables[order.table]))
+        return []
--- /dev/null
+++ b/damsonpick/edge/watches.py
@@ -0,0 +1,112 @@
+"""The long answers that a pilot follows: the relay's news and discovery's changes. Thin shells round http.py."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Callable
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from damsonpick.edge import http
+from damsonpick.edge.config import Address
+from damsonpick.roster.redial import Redial
+
+DIAL = 0.5  # s to a connection, and to the head of an answer
+FIRST, MOST = 0.04, 1.0  # s between tries: bounds of the first and of any
+
+
+class Reader(Protocol):
+    """Takes one watch in."""
+
+    def path(self) -> str:
+        """What to ask for."""
+
+    def take(self, lines: list[bytes]) -> bool:
+        """Take lines in; True once the watch has told what stands, and may stand in for a former one.
+
+        Raises:
+            http.Broken: the watch can't be read on.
+        """
+
+
+async def follow(address: Address, path: str, silence: float) -> AsyncIterator[list[bytes]]:
+    """Whole lines of a watch, as many at a time as came together.
+
+    Args:
+        silence: s without a byte after which a watch is dead though open.
+
+    Raises:
+        http.Broken: the watch has ended; the text says how.
+    """
+    stream = await http.dial(address, DIAL)
+    try:
+        await http.send(stream, http.request("GET", path, address), DIAL)
+        answers = http.Answers(http.LINE_MOST)
+        while not answers.done:
+            answers.feed(await http.receive(stream, silence))
+            if answers.status() not in (0, 200):
+                raise http.Broken(f"status {answers.status()}: {bytes(answers.body[:80])!r}")
+            if lines := answers.lines():
+                yield lines
+        raise http.Broken("the answer ended")
+    finally:
+        await anyio.aclose_forcefully(stream)
+
+
+class Link:
+    """One address that is followed."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.scope = anyio.CancelScope()
+        self.over = False  # another has taken its place
+
+
+class Follower:
+    """Keeps a watch open. A new address is followed before the former watch is let go.
+
+    Args:
+        name: for the log.
+        silence: s without a byte after which a watch is dead.
+        reader: makes the reader of one watch.
+    """
+
+    def __init__(self, name: str, silence: float, reader: Callable[[], Reader], rng: random.Random, log: Any) -> None:
+        self.name, self.silence, self.reader, self.rng, self.log = name, silence, reader, rng, log
+        self.newest: Link | None = None
+        self.standing: Link | None = None  # whose watch is believed
+        self.breaks = 0
+
+    def point(self, group: TaskGroup, address: Address) -> None:
+        """Follow this address from now on."""
+        self.newest = Link(address)
+        group.start_soon(self._run, self.newest)
+
+    async def _run(self, link: Link) -> None:
+        redial = Redial(self.rng, FIRST, MOST)
+        with link.scope:
+            while link is self.newest:
+                try:
+                    await self._watch(link, redial)
+                except http.Broken as error:
+                    self.breaks += 1
+                    self.log.warning("watch_broken", what=self.name, why=str(error))
+                if not link.over:
+                    await anyio.sleep(redial.failed())
+
+    async def _watch(self, link: Link, redial: Redial) -> None:
+        reader = self.reader()
+        async for lines in follow(link.address, reader.path(), self.silence):
+            if link.over:
+                return
+            if reader.take(lines):
+                redial.succeeded()
+                self._believe(link)
+
+    def _believe(self, link: Link) -> None:
+        former, self.standing = self.standing, link
+        if former is not None and former is not link:
+            former.over = True
+            former.scope.cancel()
--- a/damsonpick/engine/core.py
+++ b/damsonpick/engine/core.py
@@ -7,14 +7,13 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from typing import Any
 
 from damsonpick import interface as api
 from damsonpick.choice import Planner
 from damsonpick.engine import explain
-from damsonpick.engine.clock import Steady
+from damsonpick.engine.loop import SECOND, Loop
 from damsonpick.fronts.hub import Hub
 from damsonpick.fronts.session import Session
 from damsonpick.knowledge import ageing, recall
@@ -27,14 +26,10 @@
 from damsonpick.versions.history import number_of
 from damsonpick.versions.keeper import Keeper
 
-SECOND = 1_000_000_000
-RESTART_FIRST, RESTART_MOST = SECOND // 10, 9 * SECOND // 10  # ns before another planner is tried
-CALM = 30 * SECOND  # ns without a failure after which the next counts as the first
-LOGGED_EVENTS = 200  # of a failed call
 NOTHING_LEARNED = Fleet(0.0, 0.0)
 
 
-class Engine:
+class Engine(Loop):
     """One pilot's loop body.
 
     Args:
@@ -48,15 +43,11 @@
     def __init__(self, settings: PilotSettings, store: Store, published: Published, hub: Hub, roster: Roster,
                  log: Any, make: Callable[[api.Settings, int], Planner] = Planner,
                  keeper: Keeper | None = None) -> None:
+        super().__init__(log)
         self.settings, self.store, self.published, self.hub = settings, store, published, hub
-        self.roster, self.log, self.make = roster, log, make
+        self.roster, self.make = roster, make
         self.keeper = keeper
         self.owner = settings.pilot.name
-        self.inbox: list[api.Event] = []
-        self.timers: list[tuple[int, int]] = []
-        self.clock = Steady()
-        self.planner: Planner | None = None
-        self.failures = self.failed_at = self.restart_at = 0
         self.owned: set[int] = set()
         self.unsaved: set[int] = set()  # slices whose tables the store does not hold yet
         self.save_at = 0
@@ -101,8 +92,6 @@
         """A new planner, told the list, the tables and who is joined. `anew`: in place of one that was at work."""
         again = anew or bool(self.failures)
         seed = self.settings.pilot.seed * 1000 + self.failures
-        self.planner = self.make(self.settings.planner(), seed)
-        self.timers.clear()
         kept = tuple(self.roster.entries.values())
         events: list[api.Event] = [api.ListChanged("restored", kept)]
         if self.roster.fresh:
@@ -116,7 +105,7 @@
         if again:  # they hold withdrawals of the planner that failed
             events += [api.ProxyJoined(m.number, m.session.zone, 0.0, False) for m in self.hub.members.values()]
         self.hub.events = [e for e in self.hub.events if not isinstance(e, api.Applied)] if not again else []
-        self.inbox = events
+        self.begin_with(self.make(self.settings.planner(), seed), events)
 
     def _recalled(self, learned: Snapshot | None) -> list[api.Event]:
         """What an earlier planner learned, and the orders of it that are in force."""
@@ -143,17 +132,18 @@
         """A planner that has learned nothing, in place of the one at work; tables and orders stay."""
         self._begin(self.clock.take(now), anew=True)
 
-    def _salvage(self) -> Snapshot | None:
-        """What a planner that failed had learned, if it can be read at all."""
+    def salvage(self) -> None:
+        """What a planner that failed had learned, if it can be read at all. It may be what it failed of: it is
+        handed on once, and not after a second failure."""
+        self.salvaged = None
         try:
-            return self.learned()
+            self.salvaged = self.learned() if self.failures == 1 else None
         except Exception as error:
             self.log.warning("nothing_salvaged", error=repr(error))
-            return None
 
     def tell(self, *events: api.Event) -> None:
         """Events for the next step, in order."""
-        self.inbox.extend(events)
+        super().tell(*events)
         self.list_changed |= any(isinstance(e, api.ListChanged) for e in events)
 
     def relocate(self, now: int, endpoints: list[str]) -> list[Session]:
@@ -179,9 +169,7 @@
 
     def due(self) -> int | None:
         """When the next step must be, ns; None: only when something happens."""
-        times = [self.timers[0][0]] if self.timers else []
-        if self.planner is None:
-            times = [self.restart_at]
+        times = [] if self.next_step() is None else [self.next_step()]
         if self.unsaved:
             times.append(self.save_at)
         if self.pinned:
@@ -206,39 +194,14 @@
         if self.list_changed:
             self.hub.hasten(now)
             self.list_changed = False
-        events, self.inbox = self.inbox, []
-        events += self.hub.events
-        self.hub.events = []
-        while self.timers and self.timers[0][0] <= now:
-            events.append(api.TimerFired(heapq.heappop(self.timers)[1]))
-        if not events:
-            return []
-        try:
-            actions = self.planner.handle(now, events)
-        except Exception as error:
-            self._failed(now, events, error)
-            return []
-        return self._carry_out(now, actions, _cause(events))
-
-    def _failed(self, now: int, events: list[api.Event], error: Exception) -> None:
-        self.failures = self.failures + 1 if now - self.failed_at < CALM else 1
-        self.failed_at = now
-        wait = 0 if self.failures == 1 else min(RESTART_MOST, RESTART_FIRST * 2 ** min(self.failures, 8))
-        # what it learned may be what it failed of: it is handed on once, and not after a second failure
-        self.salvaged = self._salvage() if self.failures == 1 else None
-        self.planner, self.restart_at = None, now + wait
-        self.log.error("module_failed", error=repr(error), restart_in_ms=wait // 1_000_000, failures=self.failures,
-                       tables="the last ones stay in service", exc_info=error,
-                       events=[repr(e) for e in events[-LOGGED_EVENTS:]])
+        more, self.hub.events = self.hub.events, []
+        done = self.advance(now, more)
+        return self._carry_out(now, done.actions, _cause(done.events)) if done else []
 
     def _carry_out(self, now: int, actions: list[api.Action], cause: str) -> list[Session]:
         table_orders = []
         for action in actions:
-            if isinstance(action, api.SetTimer):
-                heapq.heappush(self.timers, (now + max(1, action.delay), action.token))
-            elif isinstance(action, api.Log):
-                self.log.info("module", text=action.text)
-            elif isinstance(action, api.Subscribe | api.FetchList):
+            if isinstance(action, api.Subscribe | api.FetchList):
                 self.list_wanted = True
             elif isinstance(action, api.SetLine | api.ClearTable) and action.table not in self.owned:
                 continue  # not ours any more: the order came too late
--- a/damsonpick/simhost/codec.py
+++ b/damsonpick/simhost/codec.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
+from damsonpick import bootstrap
 from damsonpick import interface as api
 
 ALL_TABLES = 65535
@@ -152,9 +153,8 @@
                 return
             try:
                 yield self._item(parts)
-            except (ValueError, KeyError, TypeError) as error:
-                reason = f"missing setting {error}" if isinstance(error, KeyError) else error
-                raise self._fail(f"{parts[0]}: {reason}") from None
+            except (ValueError, TypeError) as error:
+                raise self._fail(f"{parts[0]}: {error}") from None
 
     def _item(self, parts: list[str]) -> Item:
         name, values = parts[0], parts[1:]
@@ -203,49 +203,7 @@
         if not equals:
             raise ValueError(f"not a path=value pair: {pair[:60]!r}")
         known[path] = value
-
-    def words(path: str) -> tuple[str, ...]:
-        return tuple(part for part in known.get(path, "").split(",") if part and part != "-")
-
-    classes = tuple(_read_class(known, f"grades.{k}.") for k in range(_int(known["grades.count"])))
-    return api.Settings(
-        instance=_int(known["me"]),
-        instances=_int(known["peersTotal"]),
-        zone=known.get("zone", ""),
-        classes=classes,
-        slices=_int(known["domain.shards"]),
-        proxies=_int(known["domain.agents"]),
-        sole_owner=known.get("domain.soleOwner", "false") == "true",
-        admission=known.get("domain.admission", "none"),
-        subscribe=known.get("discovery") == "subscribe",
-        ask_every=_opt_int(known.get("rules.askEveryNs", "0")),
-        channel_rate=_float(known["domain.egressPerS"]),
-        channel_limit=_float(known["domain.mostWaiting"]),
-        message_overhead=_float(known["domain.overhead"]),
-        messages_per_window=_int(known.get("domain.pushesAllowed", "0")),
-        message_window=_opt_int(known.get("domain.updateWindowNs", "0")),
-        transit_max=_opt_int(known.get("domain.transitMaxNs", "0")),
-        report_period=_int(known["domain.reportEveryNs"]),
-        drain_grace=_int(known["rules.stopSendingWithinNs"]),
-        cold_share=_float(known["rules.coldShare"]),
-        cold_time=_int(known["rules.coldNs"]),
-        write_linger=_opt_int(known.get("domain.lingersNs", "0")),
-        write_lease=_opt_int(known.get("domain.leaseNs", "0")),
-        load_fields=words("report.fields"),
-        pick=known.get("domain.pick", "lottery"),
-    )
-
-
-def _read_class(known: dict[str, str], prefix: str) -> api.RequestClass:
-    return api.RequestClass(
-        name=known[prefix + "name"],
-        aim=_int(known[prefix + "aimNs"]),
-        deadline=_int(known[prefix + "deadlineNs"]),
-        effect=known[prefix + "effect"],
-        key_scope=known.get(prefix + "keyScope", "all"),
-        key_window=_opt_int(known.get(prefix + "windowNs", "0")),
-        worth=_float(known.get(prefix + "worth", "1")),
-    )
+    return bootstrap.read_settings(known)
 
 
 def _mask(classes: tuple[int, ...]) -> int:
