More failures than requests of a span are no spoilt slice report; levels are logged as levels

Checked in the log by kind: requests that failed may have come in an earlier span, so range_stats may count more failures than requests; the module does not use them. upstream_stats keep the check. The beliefs line lost its levels to structlog's own key.

At fault: messages.Reports.event, beliefs.say.

--- a/damsonpick/edge/beliefs.py
+++ b/damsonpick/edge/beliefs.py
@@ -38,7 +38,7 @@
                    ((n, planner.endpoints[n]) for n in named)}
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.log.info(
-            "beliefs", proxies=len(planner.channel.proxies), slices=len(planner.slices), level=planner.level,
+            "beliefs", proxies=len(planner.channel.proxies), slices=len(planner.slices), levels=planner.level,
             allow=None if planner.allow == float("inf") else round(planner.allow, 1),
             flights=len(planner.channel.flights),
             waiting=len(pilot.orders.waiting), dirty=len(planner.dirty), reports=self.reports, steps=self.steps,
--- a/damsonpick/edge/messages.py
+++ b/damsonpick/edge/messages.py
@@ -95,19 +95,20 @@
         Raises:
             Spoilt: it names what does not exist, or contradicts itself.
         """
-        if report.failed > report.tries:
-            raise Spoilt(f"failed: {report.failed} of {report.tries} tries")
         span = int(report.span_ms * MS)
         if isinstance(report, RangeStats):
             if report.slice >= self.slices:
-                raise Spoilt(f"slice: {report.slice} of {self.slices}")
+                raise Spoilt(f"range_stats: slice: {report.slice} of {self.slices}")
             if report.name not in self.classes:
-                raise Spoilt(f"class: {report.name[:60]!r} does not exist")
+                raise Spoilt(f"range_stats: class: {report.name[:60]!r} does not exist")
+            # Requests that failed may have come in an earlier span: more of them than came is no contradiction.
             return api.SliceDemand(report.slice, report.name, report.tries, report.failed, span)
         if report.zone not in self.zones:
-            raise Spoilt(f"zone: {report.zone[:60]!r} does not exist")
+            raise Spoilt(f"upstream_stats: zone: {report.zone[:60]!r} does not exist")
+        if report.failed > report.tries:
+            raise Spoilt(f"upstream_stats: failed: {report.failed} of {report.tries} tries")
         if report.mean_ms is None and report.tries > report.failed:
-            raise Spoilt("mean_ms: missing, though tries were answered")
+            raise Spoilt("upstream_stats: mean_ms: missing, though tries were answered")
         return api.EndpointReport(report.zone, report.server, report.tries, report.failed,
                                   int((report.mean_ms or 0.0) * MS), span, self._load(report.load))
 
--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -157,7 +157,8 @@
                 group.start_soon(self._believe)
                 group.start_soon(self._late)
                 self.log.info("pilot_started", name=self.config.name, known=len(self.config.known.entries),
-                              version=self.config.known.version)
+                              version=self.config.known.version, sockets=self.config.sockets,
+                              settings=self.config.settings._asdict())
                 async for number in signals:
                     if number == signal.SIGTERM:
                         break
