--- /dev/null
+++ b/tests/test_edge_parts.py
@@ -0,0 +1,282 @@
+"""The sans-I/O parts of the edge: frames, messages, orders, relay, discovery, door."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damsonpick import interface as api
+from damsonpick.edge import config, discovery, door, frames, http, messages
+from damsonpick.edge.orders import MOST_BYTES, Orders, read_answer
+from damsonpick.edge.relay import Registry, Standing
+from tests import helpers
+from tests.edge_world import config as config_file
+
+REPORTS = messages.Reports(helpers.settings(), ("a", "b"))
+JOIN = frames.frame(b'{"@type":"telemetry","zone":"a"}')
+REPORT = frames.frame(b'{"@type":"upstream_stats","zone":"a","server":"p","tries":4,"failed":1,"mean_ms":2.5,'
+                      b'"span_ms":1000.0}')
+
+
+@given(st.lists(st.binary(min_size=2, max_size=300), max_size=6), st.lists(st.integers(1, 50), max_size=60))
+def test_frames_cut_anywhere_give_the_same_messages(bodies, cuts):
+    data, reader, got = b"".join(map(frames.frame, bodies)), frames.Frames(), []
+    places = [0, *sorted({min(sum(cuts[:k]), len(data)) for k in range(1, len(cuts) + 1)}), len(data)]
+    for start, end in itertools.pairwise(places):
+        reader.feed(data[start:end])
+        while (body := reader.next()) is not None:
+            got.append(body)
+    assert got == bodies
+
+
+@pytest.mark.parametrize("size", [0, 1, frames.MOST + 1, 0xFFFFFFFF])
+def test_a_length_that_cannot_be_is_seen_before_the_body(size):
+    reader = frames.Frames()
+    reader.feed(size.to_bytes(4, "little"))
+    with pytest.raises(frames.FrameError):
+        reader.next()
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_raise_anything_but_what_is_promised(body):
+    for read in (messages.decode, messages.decode_news, discovery.decode, config.parse):
+        with contextlib.suppress(messages.Spoilt, messages.Unreadable, discovery.ListingError, config.ConfigError):
+            read(body)
+
+
+@pytest.mark.parametrize("body", [b'{"a":' * 5000, b"[" * 5000, b"1" * 5000])
+def test_deep_and_huge_json_is_unreadable_not_an_error(body):
+    with pytest.raises((messages.Spoilt, messages.Unreadable)):
+        messages.decode(body)
+
+
+def test_more_failures_than_requests_are_news_of_a_slice_and_nonsense_of_a_server():
+    slice_ = messages.decode(b'{"@type":"range_stats","slice":1,"class":"cheap","tries":0,"failed":2,"span_ms":1}')
+    assert REPORTS.event(slice_) == api.SliceDemand(1, "cheap", 0, 2, 1_000_000)
+    server = messages.decode(b'{"@type":"upstream_stats","zone":"a","server":"p","tries":0,"failed":2,"span_ms":1}')
+    with pytest.raises(messages.Spoilt, match="failed"):
+        REPORTS.event(server)
+
+
+# -- the door
+
+
+def test_what_came_before_an_offence_counts():
+    caller = door.Caller(REPORTS)
+    with pytest.raises(door.Turned) as turned:
+        caller.feed(5, JOIN + REPORT + b"\0\0\0\0")
+    assert [e.endpoint for e in turned.value.args[1].events] == ["p"] and caller.zone == "a"
+
+
+@given(st.integers(1, len(JOIN + REPORT) - 1))
+def test_a_join_and_a_report_in_two_pieces(cut):
+    caller, data = door.Caller(REPORTS), JOIN + REPORT
+    events = caller.feed(1, data[:cut]).events + caller.feed(2, data[cut:]).events
+    assert len(events) == 1 and caller.zone == "a"
+
+
+def test_the_door_lets_the_oldest_stranger_go_and_keeps_two_collectors_a_zone():
+    made = door.Door(132)
+    callers = [door.Caller(REPORTS) for _ in range(made.most + 1)]
+    callers[0].feed(0, JOIN)
+    gone = [made.enter(n, c) for n, c in enumerate(callers)]
+    assert gone[:-1] == [None] * made.most and gone[-1] is callers[1]
+    for at, caller in enumerate(callers[2:4], 100):
+        caller.feed(at, JOIN)
+        again = made.joined(caller)
+    assert again == [callers[0]]
+
+
+# -- orders
+
+MODEL = st.one_of(
+    st.builds(api.SetLine, st.integers(0, 2), st.sampled_from("pq"), st.sampled_from([0.0, 1.0, 2.0])),
+    st.builds(api.Withdraw, st.sampled_from("pq"), st.booleans()),
+    st.builds(lambda level: api.Admit(None, (0,), level, 1), st.sampled_from([0.5, 1.0])),
+    st.builds(api.ClearTable, st.integers(0, 2)), st.builds(api.Mark, st.integers(0, 9), st.just(True)))
+
+
+class Store:
+    """What orders come to, carried out in order."""
+
+    def __init__(self) -> None:
+        self.state: dict = {}
+
+    def do(self, order) -> None:
+        if isinstance(order, api.SetLine):
+            self.state[order.table, order.endpoint] = order.weight
+        elif isinstance(order, api.Withdraw):
+            self.state[order.endpoint] = order.out
+        elif isinstance(order, api.Admit):
+            self.state["level"] = order.level
+        elif isinstance(order, api.ClearTable):
+            self.state |= {k: 0.0 for k in self.state if isinstance(k, tuple) and k[0] == order.table}
+
+    def lines(self) -> dict:
+        return {k: v for k, v in self.state.items() if v}
+
+
+@settings(max_examples=300)
+@given(st.lists(st.tuples(st.lists(MODEL, max_size=4), st.sampled_from(["taken", "lost", "cut", "busy", "part"])),
+                max_size=12))
+def test_any_outcomes_end_in_the_wanted_state(steps):
+    orders, wanted, store, marks = Orders(("x",)), Store(), Store(), []
+    for pushed, outcome in [*steps, ([], "taken"), ([], "taken"), ([], "taken")]:
+        orders.push(pushed)
+        for order in pushed:
+            wanted.do(order)
+            marks = [order.number] if isinstance(order, api.Mark) else marks
+        call = orders.call()
+        if call is None:
+            continue
+        half, count = len(call.orders) // 2, len(call.orders)
+        if outcome == "part":  # the relay refuses what names an endpoint it does not know
+            count = next((k for k in range(half, count) if isinstance(call.orders[k], api.SetLine)), count)
+        if outcome in ("taken", "lost", "part"):
+            for order in call.orders[:count]:
+                store.do(order)
+        if outcome in ("taken", "part"):
+            _, refused = orders.taken(count)
+            if refused is not None:  # it is given up by itself, and nobody wants it any more
+                wanted.state[refused.table, refused.endpoint] = store.state.get((refused.table, refused.endpoint))
+        else:
+            orders.again()
+    assert not orders.waiting and store.lines() == wanted.lines()
+
+
+def test_a_call_is_cut_between_orders_and_marks_go_last():
+    orders = Orders(("x",), shift=70)
+    orders.push([api.SetLine(n, "s-" + "x" * 80, 1.0) for n in range(1000)] + [api.Mark(3, True)])
+    first = orders.call()
+    assert len(first.body) <= MOST_BYTES and 0 < len(first.orders) < 1000
+    while (last := orders.call()).orders != tuple(orders.waiting.values()):
+        orders.taken(len(last.orders))
+    assert json.loads(last.body)["ops"][-1] == {"op": "SYNC", "nonce_out": 73, "on": 1} and orders.mark_of(73) == 3
+
+
+def test_orders_of_an_earlier_charge_do_not_come_to_life_in_a_later_one():
+    orders = Orders(("x",))
+    registry = Registry(orders, 4, 4)
+    registry.news(messages.Owner(1, True))
+    orders.push([api.SetLine(1, "p", 1.0), api.SetLine(2, "p", 1.0)])
+    registry.news(messages.Owner(1, False))
+    assert [o.table for o in orders.waiting.values()] == [2]
+
+
+@pytest.mark.parametrize("body, most, answer", [
+    (b'{"taken":2}', 3, (2, "")), (b'{"taken":4}', 3, None), (b'{"taken":-1}', 3, None), (b'{"taken":true}', 3, None),
+    (b'{"taken":"2"}', 3, None), (b'{}', 3, None), (b'', 3, None), (b'{"error":"BUSY"}', 3, (None, "BUSY")),
+    (b'{"error":{"code":"SYNTAX"}}', 3, (None, "SYNTAX")), (b'[' * 9000, 3, None)])
+def test_answers(body, most, answer):
+    assert read_answer(body, most) == answer
+
+
+# -- the relay's news
+
+
+def standing(members=(), **tables) -> Standing:
+    made = Standing()
+    for proxy, fresh in members:
+        made.take(messages.Attach(proxy, "a", fresh))
+    for name, lines in tables.items():
+        made.take(messages.Owner(int(name[1:]), True))
+        for server in lines:
+            made.take(messages.Entry(int(name[1:]), server, 1.0))
+    return made
+
+
+def test_what_stands_after_a_break_is_told_as_the_difference():
+    registry = Registry(Orders(("x",)), 8, 8)
+    registry.reconcile(standing([(0, True), (1, True)], t1="p", t2="q", t3="r"))
+    events = registry.reconcile(standing([(1, True), (2, False)], t1="p", t2="pq"))
+    assert events == [
+        api.CustodyChanged(3, False), api.CustodyChanged(2, True), api.StoredLine(2, "p", 1.0),
+        api.StoredLine(2, "q", 1.0), api.ProxyLeft(0), api.ProxyLeft(1),
+        api.ProxyJoined(1, "a", 0.0, False), api.ProxyJoined(2, "a", 0.0, False)]
+
+
+def test_what_a_call_of_unknown_outcome_changed_is_no_difference():
+    orders = Orders(("x",))
+    registry = Registry(orders, 8, 8)
+    registry.reconcile(standing(t1="p"))
+    orders.push([api.SetLine(1, "q", 1.0), api.SetLine(1, "p", 0.0)])
+    orders.call()
+    orders.again()
+    assert registry.reconcile(standing(t1="q")) == [] == registry.reconcile(standing(t1="p"))
+
+
+def test_news_of_what_is_not_joined_or_known_already_are_nothing():
+    registry = Registry(Orders(("x",)), 8, 8)
+    registry.reconcile(standing([(0, True)], t1="p"))
+    for news in (messages.Done(5, 1), messages.Detach(5), messages.Entry(1, "p", 1.0), messages.Entry(7, "p", 1.0),
+                 messages.Attach(99, "a", True), messages.Owner(99, True)):
+        assert registry.news(news) == []
+    assert registry.news(messages.Attach(0, "a", True))[0] == api.ProxyLeft(0)
+
+
+def test_a_planner_begun_anew_is_told_what_stands_and_what_was_ordered():
+    registry = Registry(Orders(("x", "y")), 8, 8)
+    registry.reconcile(standing([(0, True)], t1="p"))
+    registry.carried_out((api.Withdraw("p", True), api.Admit(None, (1,), 0.5, 1), api.SetLine(1, "q", 1.0)))
+    events = registry.begin()
+    assert api.FleetRecalled((1.0, 0.5), ("p",), 0.0, 0.0) in events and api.StoredLine(1, "q", 1.0) in events
+    assert events[-1] == api.ProxyJoined(0, "a", 0.0, False)
+
+
+# -- discovery
+
+
+def listing(version: int, full: bool, *servers: dict) -> discovery.Listing:
+    return discovery.read_listing({"version": version, "full": full, "servers": list(servers)})
+
+
+def server(name: str, state: str = "Ready", **more) -> dict:
+    return {"id": name, "zone": "a", "state": state, "weight": 1.0, "started_ms": 0} | more
+
+
+def test_lists_bind_at_once_and_spoilt_entries_cost_only_themselves():
+    roster = discovery.Roster(listing(3, True, server("p"), server("q"), server("r")))
+    event = roster.take(listing(5, True, server("p"), server("q", state="Odd")))
+    assert event.kind == "replace" and {e.endpoint for e in event.entries} == {"p", "q"}
+    event = roster.take(listing(6, False, server("p", "Gone"), server("s", started_ms=7)))
+    assert event.kind == "update" and set(roster.entries) == {"q", "s"} and roster.entries["s"].started == 7_000_000
+    with pytest.raises(discovery.ListingError, match="after 6"):
+        roster.take(listing(5, False))
+    assert roster.take(listing(2, True, server("p"))).kind == "replace" and roster.version == 2
+
+
+@pytest.mark.parametrize("change", [{"id": 5}, {"zone": None}, {"weight": True}, {"weight": -1}, {"started_ms": 1.5},
+                                    {"started_ms": -1}, {"state": None}])
+def test_entries_that_cannot_be_are_doubted(change):
+    made = listing(1, True, server("p") | change, server("q"))
+    assert [e.endpoint for e in made.entries] == ["q"] and len(made.doubts) == 1
+
+
+# -- HTTP
+
+
+@given(st.integers(1, 80))
+def test_chunked_lines_cut_anywhere(size):
+    data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{}\n\nx\r\n4\r\nyz\n\n\r\n"
+    reader, lines = http.Answers(), []
+    for start in range(0, len(data), size):
+        reader.feed(data[start:start + size])
+        lines += reader.lines()
+    assert lines == [b"{}", b"", b"xyz", b""] and reader.status() == 200 and not reader.done
+
+
+def test_an_answer_without_end_is_given_up():
+    reader = http.Answers(100)
+    with pytest.raises(http.Broken, match="over 100"):
+        reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + b"x" * 101)
+
+
+def test_the_configuration_is_read_whole():
+    made = config.parse(json.dumps(config_file(known={"version": 4, "full": True, "servers": [server("p")]})).encode())
+    assert made.known.version == 4 and made.zones == ("a", "b") and made.settings.classes[1].worth == 3.0
+    assert made.seed == 0x8C1F30D27A5BE964 and made.settings.load_fields == ("busy_reqs",)
