A reload without a gap in the news no longer tells the module that every proxy came back

Checked in the log of calls: the new watch's first part was told as 150 proxies that left and joined.

Ruled out: loss on the sockets (no unknown outcome, no broken watch, beats answered).

At fault: Registry.reconcile, which cannot know of a gap. The former watch is read until the new one has told what stands, so only who stands differently is told. A call's orders are now counted in the log.

--- a/damsonpick/edge/calls.py
+++ b/damsonpick/edge/calls.py
@@ -93,6 +93,7 @@
             return self._rejected(call, answer.error)
         stand, refused = self.orders.taken(answer.taken)
         self.registry.carried_out(stand)
+        self.log.info("call_taken", **count(stand))
         if refused is not None:
             self.log.warning("order_refused", order=repr(refused), at=answer.taken, of=len(call.orders))
             self.tell(*self.registry.refused(refused))
@@ -111,3 +112,16 @@
                 self.tell(*(e for order in call.orders for e in self.registry.refused(order)
                             if isinstance(order, api.SetLine)))
         return False
+
+
+def count(orders: Iterable[Order]) -> dict[str, int]:
+    """How many orders of each kind, for the log."""
+    kinds = {"lines": 0, "removed": 0, "out": 0, "let_in": 0, "levels": 0}
+    for order in orders:
+        if isinstance(order, api.SetLine):
+            kinds["lines" if order.weight > 0 else "removed"] += 1
+        elif isinstance(order, api.Withdraw):
+            kinds["out" if order.out else "let_in"] += 1
+        elif isinstance(order, api.Admit):
+            kinds["levels"] += 1
+    return {kind: n for kind, n in kinds.items() if n}
--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -62,8 +62,9 @@
             self.pilot.tell(*registry.news(news))
         elif isinstance(news, messages.Beat):
             standing, self.first = self.first, None
-            self.pilot.log.info("relay_stands", proxies=len(standing.members), slices=len(standing.tables))
-            self.pilot.tell(*registry.reconcile(standing))
+            gap = not self.pilot.news.reading()
+            self.pilot.log.info("relay_stands", proxies=len(standing.members), slices=len(standing.tables), gap=gap)
+            self.pilot.tell(*registry.reconcile(standing, gap))
             self.pilot.spoke("relay")
         else:
             self.first.take(news)
--- a/damsonpick/edge/relay.py
+++ b/damsonpick/edge/relay.py
@@ -70,11 +70,12 @@
             events.append(api.FleetRecalled(levels, tuple(self.shut), 0.0, 0.0))
         return events + [api.ProxyJoined(n, m.zone, m.weight, False) for n, m in self.members.items()]
 
-    def reconcile(self, standing: Standing) -> list[api.Event]:
+    def reconcile(self, standing: Standing, gap: bool = True) -> list[api.Event]:
         """What stands, against what is believed.
 
-        A proxy that was joined before may have left and come back in between: the module hears both, since its
-        marks and the orders sent meanwhile may be lost.
+        Over a gap in the news, a proxy that was joined before may have left and come back: the module hears both,
+        since its marks and the orders sent meanwhile may be lost. Without one (another watch was being read until
+        now) only a proxy that stands differently has, and the others need not be told all orders again.
         """
         events: list[api.Event] = []
         for number in [n for n in self.tables if n not in standing.tables]:
@@ -87,11 +88,14 @@
             if believed is None or self.orders.overlay(number, believed) != wanted:
                 events += self._given(number, wanted)
             self.tables[number] = lines
-        before, self.members = self.members, {}
-        events += [api.ProxyLeft(n) for n in before]
+        before = self.members
+        same = {} if gap else {n: m for n, m in before.items() if standing.members.get(n) == m}
+        self.members = dict(same)
+        events += [api.ProxyLeft(n) for n in before if n not in same]
         for number, member in standing.members.items():
-            fresh = member.fresh and number not in before
-            events += self._join(messages.Attach(number, member.zone, fresh, member.weight))
+            if number not in same:
+                fresh = member.fresh and number not in before
+                events += self._join(messages.Attach(number, member.zone, fresh, member.weight))
         return events
 
     def news(self, news: messages.News) -> list[api.Event]:
--- a/damsonpick/edge/watches.py
+++ b/damsonpick/edge/watches.py
@@ -62,6 +62,8 @@
         self.address = address
         self.scope = anyio.CancelScope()
         self.over = False  # another has taken its place
+        self.heard = 0.0  # s: when bytes last came
+        self.open = False  # its watch has told what stands and has not broken since
 
 
 class Follower:
@@ -79,6 +81,11 @@
         self.standing: Link | None = None  # whose watch is believed
         self.breaks = 0
 
+    def reading(self) -> bool:
+        """Whether a watch that is believed is open now: there is no gap before what another one tells."""
+        now = anyio.current_time()
+        return self.standing is not None and self.standing.open and now - self.standing.heard < self.silence / 2
+
     def point(self, group: TaskGroup, address: Address) -> None:
         """Follow this address from now on."""
         self.newest = Link(address)
@@ -91,6 +98,7 @@
                 try:
                     await self._watch(link, redial)
                 except http.Broken as error:
+                    link.open = False
                     self.breaks += 1
                     self.log.warning("watch_broken", what=self.name, why=str(error))
                 if not link.over:
@@ -101,12 +109,13 @@
         async for lines in follow(link.address, reader.path(), self.silence):
             if link.over:
                 return
+            link.heard = anyio.current_time()
             if reader.take(lines):
                 redial.succeeded()
                 self._believe(link)
 
     def _believe(self, link: Link) -> None:
-        former, self.standing = self.standing, link
+        former, self.standing, link.open = self.standing, link, True
         if former is not None and former is not link:
             former.over = True
             former.scope.cancel()
--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -200,6 +200,15 @@
         api.ProxyJoined(1, "a", 0.0, False), api.ProxyJoined(2, "a", 0.0, False)]
 
 
+def test_a_watch_that_follows_another_without_a_gap_tells_only_who_stands_differently():
+    registry = Registry(Orders(("x",)), 8, 8)
+    registry.reconcile(standing([(0, True), (1, True), (2, False)], t1="p"))
+    events = registry.reconcile(standing([(0, True), (1, False), (3, True)], t1="p"), gap=False)
+    assert events == [api.ProxyLeft(1), api.ProxyLeft(2), api.ProxyJoined(1, "a", 0.0, False),
+                      api.ProxyJoined(3, "a", 0.0, True)]
+    assert set(registry.members) == {0, 1, 3}
+
+
 def test_what_a_call_of_unknown_outcome_changed_is_no_difference():
     orders = Orders(("x",))
     registry = Registry(orders, 8, 8)
--- a/tests/test_edge_pilot.py
+++ b/tests/test_edge_pilot.py
@@ -181,6 +181,7 @@
                 w.write()
                 w.process.send_signal(signal.SIGHUP)
                 await until(lambda: other.watchers and not w.relay.watchers)
+                assert [e["gap"] for e in w.said("relay_stands")] == [True, False]
                 calls = w.relay.calls
                 await w.catalogue.put("q", "Terminating")
                 await until(lambda: other.calls and not w.bare(), 3.0)
