Levels come back soon after a surge: lateness over one second, fast growth where answers are easy

Its lateness fell below the bound for growth 14 s after the surge (few ask while levels are low, so that old answers outweigh new ones over 2.5 s), and the best seen had decayed to what was let in, so that growth was 4% a period. Ruled out: the channel (levels were published within a second), lost reports (150 a second), the search (load was even).

At fault in choice.py: shed(). Lateness of the fleet is now averaged over one second, apart from the evidence on each server; below 1.2 times the least lateness lately seen nothing queues, and the allowance grows fast.

--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -30,12 +30,14 @@
 COLD_PACE = 1.5  # times the fleet's best pace: the most let in while most of it is cold
 COLD_HEADROOM = 1.2  # times the fair share of a cold endpoint's present capacity
 EVIDENCE_TAU, MIN_TRIES = 2.5, 4.0  # s over which answers are averaged; tries behind a judgement
+LATE_TAU = 1.0  # s over which the fleet's lateness is averaged: many answers, and it turns fast
 SPEED_DOWN, SPEED_UP = 0.25, 0.12  # how far learned speed follows the observed each report period
 SPEEDS = 0.1, 2.0  # its bounds
 FAILING = 0.5  # power by which the answered share counts as speed
 SHED_LATENCY, CALM_LATENCY = 0.4, 0.3  # of the aim: allow less above, more below
 CUT_DEPTH, CUT_LEAST = 0.3, 0.7  # cut by this times latency per aim, to no less than this part
 KNOWN, BEST_KEPT = 0.85, 0.98  # of the best answered: grow fast below, probe above; what a period keeps
+EASY, USUAL_KEPT = 1.2, 0.995  # times the usual latency below which nothing queues: grow fast
 ALLOW_UP, ALLOW_PROBE = 1.15, 1.04  # growth a report period
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 STEPS = 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0  # levels for all; no class is shut out
@@ -67,10 +69,12 @@
     def hear(self, now: int, report: api.EndpointReport) -> None:
         """Add a report to what its zone saw. Rates go by the time covered, which grows with the fleet."""
         good, span = report.tries - report.failures, report.period / SECOND
-        view = self.views.setdefault(report.zone, [0.0, 0.0, 0.0, 0.0, now])
-        keep = math.exp(-max(0, now - view[4]) / SECOND / EVIDENCE_TAU)
+        view = self.views.setdefault(report.zone, [0.0, 0.0, 0.0, 0.0, now, 0.0, 0.0])
+        age = max(0, now - view[4]) / SECOND
+        keep, recent = math.exp(-age / EVIDENCE_TAU), math.exp(-age / LATE_TAU)
         new = report.tries, good, good * report.latency, span
-        view[:] = [*(old * keep + more for old, more in zip(view, new, strict=False)), now]
+        view[:] = [*(old * keep + more for old, more in zip(view, new, strict=False)), now,
+                   view[5] * recent + good, view[6] * recent + good * report.latency]
         self.heard = now
         views = [v for v in self.views.values() if now - v[4] < 2 * EVIDENCE_TAU * SECOND]
         self.tries, answered, time = (sum(v[k] for v in views) for k in range(3))
@@ -192,6 +196,7 @@
         self.tick_at = self.round_at = self.judge_at = self.report_at = self.ask_fails = 0
         self.allow, self.best, self.cut_at = math.inf, 0.0, 0  # answers/s allowed, seen at best; last cut
         self.advised = 0.0  # answers/s that the fleet can give, as reckoned outside; 0: not known
+        self.usual = math.inf  # least part of the aim that answers took, slowly forgotten
         self.pace, self.admitted = 0.0, 1.0  # best answers/s for each unit of capacity; share let in
         self.taken_over = self.hearsay = False  # levels of an earlier life not weighed yet; best not tried
         self.changed, self.landed, self.over = True, True, 0.0
@@ -463,7 +468,9 @@
         fresh = [e for e in map(self.endpoints.get, cap) if self.now - e.heard <= 2 * self.span and e.rate]
         good = sum(e.rate for e in fresh)
         # The middle of what all zones met: slow links, or servers, that are fewer than half do not shed.
-        views, seen = sorted((v[2] / v[1], v[1]) for e in fresh for v in e.views.values() if v[1] > 0), 0.0
+        # A view that heard nothing since fades: a jam that is over would else be seen where few still ask.
+        views, seen = sorted((v[6] / v[5], v[5] * math.exp((v[4] - self.now) / SECOND / LATE_TAU))
+                             for e in fresh for v in e.views.values() if v[5] > 0), 0.0
         half = sum(n for _, n in views) / 2
         late = next((time for time, n in views if (seen := seen + n) >= half), 0.0) / self.aim
         rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
@@ -472,6 +479,7 @@
             if min(self.level) < 1:
                 self.allow = sum(level * rate for level, rate in zip(self.level, rates, strict=True))
         self.best = max(good, self.best * BEST_KEPT)
+        self.usual = min(late or math.inf, self.usual / USUAL_KEPT)
         if late > SHED_LATENCY:
             if self.now - self.cut_at > CUT_HOLD:
                 if self.hearsay:  # it may lead the way back, not the cut: one too high would not cut at all
@@ -481,7 +489,7 @@
         elif late > CALM_LATENCY and self.advised and sum(rates) > self.advised:  # before answers are late
             self.allow = min(self.allow, max(self.advised, good))
         elif late < CALM_LATENCY:
-            sure = self.allow < KNOWN * self.best or late < CALM_LATENCY / 2
+            sure = self.allow < KNOWN * self.best or late < max(CALM_LATENCY / 2, EASY * self.usual)
             grown = self.allow * (ALLOW_UP if sure else ALLOW_PROBE)
             self.allow = grown if grown < 2 * sum(rates) else math.inf
         total = sum(cap.values()) + 1e-6
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -542,3 +542,13 @@
     assert world.planner.allow == pytest.approx(allowed / 2)
     world.tell(*(api.CustodyChanged(n, True) for n in range(6)))
     assert world.planner.allow == pytest.approx(allowed)
+
+
+def test_levels_come_back_soon_after_a_surge_is_over():
+    """parking-varazdin on sockets, churn: 40% were refused for 25 s after a surge, with answers as fast as ever."""
+    world = World()
+    world.run(8, latency=dict.fromkeys("pqrs", 220), rate=20)
+    world.run(10, latency=dict.fromkeys("pqrs", 1000), rate=40, tries=40)
+    assert world.levels[None, 0] < 0.5
+    world.run(12, latency=dict.fromkeys("pqrs", 220), rate=30, tries=12)
+    assert world.levels[None, 0] > 0.8
