--- a/damsonpick/edge/calls.py
+++ b/damsonpick/edge/calls.py
@@ -27,15 +27,16 @@
     address: of the relay.
     orders, registry: what waits, and what stands.
     tell: takes events for the module.
+    takes: s that the channel needs for a call of so many orders.
     """
 
     def __init__(self, address: Address, orders: Orders, registry: Registry, tell: Callable[..., None],
-                 rng: random.Random, log: Any) -> None:
+                 takes: Callable[[int], float], rng: random.Random, log: Any) -> None:
         self.caller = http.Caller(address, KEEP)
-        self.orders, self.registry, self.tell, self.log = orders, registry, tell, log
+        self.orders, self.registry, self.tell, self.takes, self.log = orders, registry, tell, takes, log
         self.redial = Redial(rng, FIRST, MOST)
         self.bell = anyio.Event()
-        self.made = self.unknown = self.malformed = 0
+        self.made = self.unknown = self.malformed = self.running = 0  # running: unknown outcomes in a row
 
     def push(self, orders: Iterable[Order]) -> None:
         """Orders of one step of the module."""
@@ -74,21 +75,28 @@
         try:
             _, body = await caller.call("POST", "/txn", call.body, ANSWER)
         except http.Broken as error:
-            return self._nobody_knows(str(error))
+            return await self._nobody_knows(str(error), call)
         return await self._answered(caller, call, body)
 
-    def _nobody_knows(self, why: str) -> bool:
-        """Carried out once or not at all: said again, with what has come since."""
+    async def _nobody_knows(self, why: str, call: Call) -> bool:
+        """Carried out once or not at all: said again, with what has come since.
+
+        The first repeat follows at once, as the module leaves half of the channel free and a drain may be in it. If
+        that one's outcome is unknown as well, both may wait in the channel: the next leaves time for one to get out.
+        """
         self.unknown += 1
+        self.running += 1
         self.orders.again()
         self.log.warning("call_outcome_unknown", why=why, waiting=len(self.orders.waiting))
+        if self.running > 1:
+            await anyio.sleep(self.takes(len(call.orders)))
         return False
 
     async def _answered(self, caller: http.Caller, call: Call, body: bytes) -> bool:
         answer = read_answer(body, len(call.orders))
         if answer is None:
             await caller.close()
-            return self._nobody_knows(f"unreadable answer {body[:80]!r}")
+            return await self._nobody_knows(f"unreadable answer {body[:80]!r}", call)
         if answer.taken is None:
             return self._rejected(call, answer.error)
         stand, refused = self.orders.taken(answer.taken)
@@ -98,7 +106,7 @@
             self.log.warning("order_refused", order=repr(refused), at=answer.taken, of=len(call.orders))
             self.tell(*self.registry.refused(refused))
         self.redial.succeeded()
-        self.malformed = 0
+        self.malformed = self.running = 0
         return True
 
     def _rejected(self, call: Call, error: str) -> bool:
--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -119,7 +119,7 @@
         self.reports = messages.Reports(config.settings, config.zones)
         self.door = door.Door(config.sockets)
         self.scopes: dict[door.Caller, anyio.CancelScope] = {}
-        self.calls = Calls(config.registry, self.orders, self.registry, self.tell, self.rng, log)
+        self.calls = Calls(config.registry, self.orders, self.registry, self.tell, self._takes, self.rng, log)
         self.news = Follower("news", NEWS_SILENCE, lambda: NewsReader(self), self.rng, log)
         self.list = Follower("list", LIST_SILENCE, lambda: ListReader(self), self.rng, log)
         self.beliefs = Beliefs(log)
@@ -127,6 +127,11 @@
         self.unheard = {"relay", "discovery"}
         self.ready = anyio.Event()
 
+    def _takes(self, orders: int) -> float:
+        """Seconds in which the channel sends a call of so many orders to all who are joined."""
+        s = self.config.settings
+        return (orders + s.message_overhead) * len(self.registry.members) / max(1.0, s.channel_rate)
+
     # -- what happens
 
     def tell(self, *events: api.Event) -> None:
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -99,12 +99,12 @@
 
 
 @asynccontextmanager
-async def world(folder: Path, servers: str = "pqr", slices: int = 6, proxies: int = 4):
-    """All of it, running, every slice with a line."""
+async def world(folder: Path, servers: str = "pqr", slices: int = 6, proxies: int = 4, rate: float = 4000.0):
+    """All of it, running, every slice with a line. `rate`: lines a second that the channel is said to send."""
     relay, catalogue = Relay(slices, proxies), Catalogue(*servers)
     made = World(folder, relay, catalogue)
     async with relay.running() as made.registry, catalogue.running() as made.discovery:
-        made.write()
+        made.write(settings=SETTINGS | {"domain": SETTINGS["domain"] | {"egressPerS": rate}})
         await made.start()
         try:
             await until(lambda: not made.bare())
--- a/tests/test_edge_pilot.py
+++ b/tests/test_edge_pilot.py
@@ -73,6 +73,21 @@
     run(scene)
 
 
+def test_repeats_leave_the_channel_time(tmp_path):
+    """Rule 5: a call whose outcome stays unknown is not heaped upon itself."""
+    async def scene():
+        async with world(tmp_path, rate=40.0) as w:  # 4 proxies and 8 head lines: nearly a second for a call
+            w.relay.faults.extend(["lost"] * 3)
+            began, calls = time.monotonic(), w.relay.calls
+            await w.catalogue.put("q", "Terminating")
+            await until(lambda: w.relay.calls >= calls + 2, 2.0)
+            assert time.monotonic() - began < 0.6, "the first repeat follows at once"
+            await until(lambda: w.relay.calls >= calls + 3, 4.0)
+            assert time.monotonic() - began > 0.8
+            await until(lambda: not w.relay.faults and not w.bare(), 6.0)
+    run(scene)
+
+
 def test_news_that_breaks_or_falls_silent_is_had_anew_with_the_difference(tmp_path):
     async def scene():
         async with world(tmp_path) as w:
