--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -14,6 +15,7 @@
 from damsonpick.edge import config, discovery, door, frames, http, messages
 from damsonpick.edge.orders import MOST_BYTES, Orders, read_answer
 from damsonpick.edge.relay import Registry, Standing
+from fuzz import edge_messages
 from tests import helpers
 from tests.edge_world import config as config_file
 
@@ -289,3 +291,12 @@
     made = config.parse(json.dumps(config_file(known={"version": 4, "full": True, "servers": [server("p")]})).encode())
     assert made.known.version == 4 and made.zones == ("a", "b") and made.settings.classes[1].worth == 3.0
     assert made.seed == 0x8C1F30D27A5BE964 and made.settings.load_fields == ("busy_reqs",)
+
+
+@pytest.mark.parametrize("path", sorted(Path("fuzz/corpus/edge").iterdir()), ids=lambda p: p.name)
+def test_corpus_of_the_fuzzer_whole_and_with_every_byte_changed(path):
+    data = path.read_bytes()
+    edge_messages.check(data)
+    for place in range(len(data)):
+        for value in (0, 0xFF, data[place] ^ 1):
+            edge_messages.check(data[:place] + bytes((value,)) + data[place + 1:])
