--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -347,7 +347,8 @@
         world.tell(api.FleetRecalled((0.1, 0.1), (), best, 2.0))
         world.proxies = [0, 1]
         world.tell(api.ProxyJoined(0, "a", 5.0, False), api.ProxyJoined(1, "a", 5.0, False))
-        # calm, but not so calm that growth is sure by itself
+        # calm, but not so calm, nor so near to the usual, that growth is sure by itself
+        world.run(1, latency=dict.fromkeys("pqrs", 120), rate=40, tries=12)
         world.run(6, latency=dict.fromkeys("pqrs", 200), rate=40, tries=12)
         return world
 
