--- a/damsonpick/edge/calls.py
+++ b/damsonpick/edge/calls.py
@@ -56,7 +56,13 @@
                 await self.bell.wait()
                 continue
             caller = self.caller
-            if not await self._once(caller):
+            try:
+                good = await self._once(caller)
+            except Exception as error:  # one call must not end the pilot; its outcome is unknown
+                self.log.error("call_failed", error=repr(error), exc_info=error)
+                self.orders.again()
+                good = False
+            if not good:
                 await anyio.sleep(self.redial.failed())
             if caller is not self.caller:
                 await caller.close()
--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import errno
 import random
 import signal
 from collections.abc import Callable
@@ -234,8 +233,11 @@
     async def _believe(self) -> None:
         while True:
             await anyio.sleep(1.0)
-            if self.loop.planner is not None:
-                self.beliefs.say(self.loop.planner, self)
+            try:
+                if self.loop.planner is not None:
+                    self.beliefs.say(self.loop.planner, self)
+            except Exception as error:  # words must not end the pilot
+                self.log.error("beliefs_failed", error=repr(error))
 
     # -- the address
 
@@ -253,8 +255,6 @@
             try:
                 stream = await listener.accept()
             except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS, errno.ENOMEM):
-                    raise
                 self.doubts.add("accept", str(error))
                 self._turn_out(next((c for c in self.door.callers if not c.zone), None))
                 await anyio.sleep(0.05)  # running out must neither spin nor stop accepting for good
--- a/damsonpick/edge/watches.py
+++ b/damsonpick/edge/watches.py
@@ -101,6 +101,10 @@
                     link.open = False
                     self.breaks += 1
                     self.log.warning("watch_broken", what=self.name, why=str(error))
+                except Exception as error:  # one watch must not end the pilot
+                    link.open = False
+                    self.breaks += 1
+                    self.log.error("watch_failed", what=self.name, error=repr(error), exc_info=error)
                 if not link.over:
                     await anyio.sleep(redial.failed())
 
--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -5,9 +5,12 @@
 import contextlib
 import itertools
 import json
+import random
 from pathlib import Path
 
+import anyio
 import pytest
+import structlog
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -15,6 +18,8 @@
 from damsonpick.edge import config, discovery, door, frames, http, messages
 from damsonpick.edge.orders import MOST_BYTES, Orders, read_answer
 from damsonpick.edge.relay import Registry, Standing
+from damsonpick.edge.watches import Follower
+from damsonpick.standins.catalogue import Catalogue
 from fuzz import edge_messages
 from tests import helpers
 from tests.edge_world import config as config_file
@@ -300,3 +305,28 @@
     for place in range(len(data)):
         for value in (0, 0xFF, data[place] ^ 1):
             edge_messages.check(data[:place] + bytes((value,)) + data[place + 1:])
+
+
+def test_a_watch_that_raises_is_had_anew_and_does_not_end_the_pilot():
+    async def scene():
+        catalogue, log, seen = Catalogue("p"), structlog.get_logger(), []
+
+        class Reader:
+            def path(self) -> str:
+                return "/catalog/members?watch=1&from=0"
+
+            def take(self, lines: list[bytes]) -> bool:
+                seen.append(lines)
+                if len(seen) == 1:
+                    raise RuntimeError("a fault of ours")
+                return True
+
+        async with catalogue.running() as port, anyio.create_task_group() as group:
+            follower = Follower("list", 3.0, Reader, random.Random(1), log)
+            follower.point(group, config.Address("127.0.0.1", port))
+            with anyio.fail_after(5):
+                while not follower.reading():
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        assert len(seen) >= 2 and follower.breaks == 1
+    anyio.run(scene)
