Read once more: one base for watched stand-ins, no state of the call under way

Found on reading the change again. Orders kept the call under way beside the call that its caller holds, and again() only cleared that copy: both are gone, taken() is handed the orders. ListReader remembered what spoke() already knows. bootstrap's whole-number check was written round a corner.

--- a/damsonpick/bootstrap.py
+++ b/damsonpick/bootstrap.py
@@ -48,10 +48,10 @@
     def whole(self, path: str, default: int | None = None) -> int:
         value = self._get(path, default)
         try:
-            if isinstance(value, bool) or int(value) != (float(value) if isinstance(value, float) else int(value)):
-                raise ValueError
-            if abs(int(value)) < MOST:
-                return int(value)
+            number = int(value)
+            cut = isinstance(value, float) and number != value
+            if not isinstance(value, bool) and not cut and abs(number) < MOST:
+                return number
         except (TypeError, ValueError, OverflowError):
             pass
         raise SettingError(f"{path}: not a whole number: {str(value)[:60]}")
--- a/damsonpick/edge/calls.py
+++ b/damsonpick/edge/calls.py
@@ -60,7 +60,6 @@
                 good = await self._once(caller)
             except Exception as error:  # one call must not end the pilot; its outcome is unknown
                 self.log.error("call_failed", error=repr(error), exc_info=error)
-                self.orders.again()
                 good = False
             if not good:
                 await anyio.sleep(self.redial.failed())
@@ -92,7 +91,6 @@
         """
         self.unknown += 1
         self.running += 1
-        self.orders.again()
         self.log.warning("call_outcome_unknown", why=why, waiting=len(self.orders.waiting))
         if self.running > 1:
             await anyio.sleep(self.takes(len(call.orders)))
@@ -105,7 +103,7 @@
             return await self._nobody_knows(f"unreadable answer {body[:80]!r}", call)
         if answer.taken is None:
             return self._rejected(call, answer.error)
-        stand, refused = self.orders.taken(answer.taken)
+        stand, refused = self.orders.taken(call.orders, answer.taken)
         self.registry.carried_out(stand)
         self.log.info("call_taken", **count(stand))
         if refused is not None:
@@ -116,15 +114,13 @@
         return True
 
     def _rejected(self, call: Call, error: str) -> bool:
-        self.orders.again()
         if error == "SYNTAX":
             self.malformed += 1
             self.log.error("call_malformed", tries=self.malformed, body=call.body[:400].decode("utf-8", "replace"))
             if self.malformed >= SYNTAX_MOST:  # guards against one call that blocks all others for good
                 self.malformed = 0
                 self.orders.drop(call.orders)
-                self.tell(*(e for order in call.orders for e in self.registry.refused(order)
-                            if isinstance(order, api.SetLine)))
+                self.tell(*(event for order in call.orders for event in self.registry.refused(order)))
         return False
 
 
--- a/damsonpick/edge/orders.py
+++ b/damsonpick/edge/orders.py
@@ -56,7 +56,6 @@
     def __init__(self, classes: tuple[str, ...], shift: int = 0) -> None:
         self.classes, self.shift = classes, shift
         self.waiting: dict[Key, Order] = {}
-        self.under_way: tuple[Order, ...] = ()
 
     def push(self, orders: Iterable[Order]) -> None:
         """Orders of one step of the module, in order."""
@@ -86,15 +85,14 @@
             size += len(part) + 1
         if not parts:
             return None
-        self.under_way = tuple(taken)
-        return Call(b'{"ops":[' + b",".join(parts) + b"]}", self.under_way)
+        return Call(b'{"ops":[' + b",".join(parts) + b"]}", tuple(taken))
 
-    def taken(self, count: int) -> tuple[tuple[Order, ...], Order | None]:
-        """The call was answered: what stands now, and the order that was refused, if one was.
+    def taken(self, orders: tuple[Order, ...], count: int) -> tuple[tuple[Order, ...], Order | None]:
+        """A call of these was answered: what stands now, and the order that was refused, if one was.
 
-        A refused order is dropped by itself; those behind it are due again.
+        A refused order is dropped by itself; those behind it are due again. A call without an answer, or one that was
+        rejected, needs no word here: its orders are still at the front of what waits.
         """
-        orders, self.under_way = self.under_way, ()
         refused = orders[count] if count < len(orders) else None
         self.drop(orders[:count + 1])
         return orders[:count], refused
@@ -105,10 +103,6 @@
             if self.waiting.get(key(order)) is order:
                 del self.waiting[key(order)]
 
-    def again(self) -> None:
-        """The call was not carried out, or nobody knows: its orders are still at the front of what waits."""
-        self.under_way = ()
-
     def overlay(self, table: int, lines: dict[str, float]) -> dict[str, float]:
         """Lines of a table once all that waits is carried out."""
         lines = dict(lines)
--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -73,7 +73,7 @@
     """One watch of discovery's list, from the version that is known."""
 
     def __init__(self, pilot: Pilot) -> None:
-        self.pilot, self.heard = pilot, False
+        self.pilot = pilot
 
     def path(self) -> str:
         return f"/catalog/members?watch=1&from={self.pilot.roster.version}"
@@ -89,9 +89,7 @@
             for doubt in listing.doubts:
                 self.pilot.doubts.add("list", doubt)
             self.pilot.tell(event)
-        if not self.heard:
-            self.heard = True
-            self.pilot.spoke("discovery")
+        self.pilot.spoke("discovery")
         return True
 
 
--- a/damsonpick/edge/relay.py
+++ b/damsonpick/edge/relay.py
@@ -12,8 +12,6 @@
 from damsonpick.edge import messages
 from damsonpick.edge.orders import Order, Orders, apply
 
-MS = 1_000_000
-
 
 class Member(NamedTuple):
     """A joined proxy."""
@@ -105,7 +103,7 @@
         if isinstance(news, messages.Detach):
             return [api.ProxyLeft(news.proxy)] if self.members.pop(news.proxy, None) else []
         if isinstance(news, messages.Done):
-            mark, delay = self.orders.mark_of(news.mark), int(news.took_ms * MS)
+            mark, delay = self.orders.mark_of(news.mark), int(news.took_ms * messages.MS)
             return [api.Applied(mark, news.proxy, delay)] if news.proxy in self.members else []
         if isinstance(news, messages.Owner):
             return self._own(news)
--- a/damsonpick/standins/collector.py
+++ b/damsonpick/standins/collector.py
@@ -52,10 +52,3 @@
     async def report(self, zone: str, server: str, tries: int = 20, failed: int = 0, mean_ms: float = 200.0) -> None:
         await self.say({"@type": "upstream_stats", "zone": zone, "server": server, "tries": tries, "failed": failed,
                         "mean_ms": mean_ms, "span_ms": 1000.0, "load": {"busy_reqs": 3.0}})
-
-    async def demand(self, slice_: int, name: str, tries: int = 10) -> None:
-        await self.say({"@type": "range_stats", "slice": slice_, "class": name, "tries": tries, "failed": 0,
-                        "span_ms": 1000.0})
-
-    async def leave(self) -> None:
-        await anyio.aclose_forcefully(self.stream)
--- a/damsonpick/standins/plain.py
+++ b/damsonpick/standins/plain.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import NamedTuple
 
 import anyio
@@ -75,3 +75,54 @@
         group.start_soon(made.serve, attend)
         yield made.extra(anyio.abc.SocketAttribute.local_port)
         group.cancel_scope.cancel()
+
+
+class Watched:
+    """A service with watches: long answers that lines are told to until they are cut.
+
+    A subclass gives `beat`, the sign of life, how often it comes (`every`, s), and serves requests in `serve`.
+    """
+
+    beat, every = b"", 1.0
+
+    def __init__(self) -> None:
+        self.watchers: set[SocketStream] = set()
+        self.silent = False  # signs of life stop, and connections stay open
+
+    async def serve(self, asked: Asked, stream: SocketStream) -> bool:
+        raise NotImplementedError
+
+    @asynccontextmanager
+    async def running(self, port: int = 0):
+        """Its port."""
+        async with serving(self.serve, port) as opened, anyio.create_task_group() as group:
+            group.start_soon(self._beat)
+            yield opened
+            group.cancel_scope.cancel()
+
+    async def say(self, line: bytes) -> None:
+        """A line as it is to all watchers."""
+        for stream in list(self.watchers):
+            try:
+                await stream.send(chunk(line + b"\n"))
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                self.watchers.discard(stream)
+
+    async def cut(self) -> None:
+        """Cut all watches."""
+        for stream in list(self.watchers):
+            await anyio.aclose_forcefully(stream)
+
+    async def watch(self, stream: SocketStream, lines: list[bytes]) -> None:
+        """Answer with these lines, and keep the answer open until a further byte or the end comes."""
+        await stream.send(HEAD + b"".join(chunk(line + b"\n") for line in lines))
+        self.watchers.add(stream)
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await stream.receive(1)
+        self.watchers.discard(stream)
+
+    async def _beat(self) -> None:
+        while True:
+            await anyio.sleep(self.every)
+            if not self.silent:
+                await self.say(self.beat)
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -92,6 +92,10 @@
     async def collector(self, zone: str = "a") -> Collector:
         return await (await Collector.dial(self.port)).join(zone)
 
+    def avoided(self, name: str) -> bool:
+        """Whether no proxy sends to a server: it is withdrawn, or in no table."""
+        return name in self.relay.shut or not any(name in lines for lines in self.relay.tables.values())
+
     def bare(self) -> list[int]:
         """Slices without a line to a server that is ready and not withdrawn."""
         good = {n for n, e in self.catalogue.servers.items() if e["state"] == "Ready"} - self.relay.shut
--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -148,11 +148,9 @@
             for order in call.orders[:count]:
                 store.do(order)
         if outcome in ("taken", "part"):
-            _, refused = orders.taken(count)
+            _, refused = orders.taken(call.orders, count)
             if refused is not None:  # it is given up by itself, and nobody wants it any more
                 wanted.state[refused.table, refused.endpoint] = store.state.get((refused.table, refused.endpoint))
-        else:
-            orders.again()
     assert not orders.waiting and store.lines() == wanted.lines()
 
 
@@ -162,7 +160,7 @@
     first = orders.call()
     assert len(first.body) <= MOST_BYTES and 0 < len(first.orders) < 1000
     while (last := orders.call()).orders != tuple(orders.waiting.values()):
-        orders.taken(len(last.orders))
+        orders.taken(last.orders, len(last.orders))
     assert json.loads(last.body)["ops"][-1] == {"op": "SYNC", "nonce_out": 73, "on": 1} and orders.mark_of(73) == 3
 
 
@@ -222,7 +220,6 @@
     registry.reconcile(standing(t1="p"))
     orders.push([api.SetLine(1, "q", 1.0), api.SetLine(1, "p", 0.0)])
     orders.call()
-    orders.again()
     assert registry.reconcile(standing(t1="q")) == [] == registry.reconcile(standing(t1="p"))
 
 
--- a/tests/test_edge_pilot.py
+++ b/tests/test_edge_pilot.py
@@ -39,7 +39,7 @@
             assert await collector.alive()
             await collector.report("a", "p")
             await w.catalogue.put("q", "Terminating")
-            await until(lambda: "q" in w.relay.shut or not any("q" in t for t in w.relay.tables.values()), 2.0)
+            await until(lambda: w.avoided("q"), 2.0)
             await until(lambda: not w.bare(), 2.0)
             began = time.monotonic()
             assert await w.end() == 0
@@ -67,8 +67,7 @@
         async with world(tmp_path) as w:
             w.relay.faults.extend([fault, fault])
             await w.catalogue.put("q", "Terminating")
-            await until(lambda: not w.relay.faults and "q" in w.relay.shut | {
-                x for x in "q" if not any(x in t for t in w.relay.tables.values())}, 4.0)
+            await until(lambda: not w.relay.faults and w.avoided("q"), 4.0)
             await until(lambda: not w.bare(), 4.0)  # a refused line is decided anew
             assert w.process.returncode is None
     run(scene)
@@ -99,7 +98,7 @@
             w.relay.silent = False
             await until(lambda: len(w.said("relay_stands")) > 1)
             assert w.said("relay_stands")[-1]["slices"] == 5
-            await w.relay.break_news()
+            await w.relay.cut()
             await until(lambda: len(w.said("relay_stands")) > 2)
             await w.catalogue.put("p", "Terminating")
             await until(lambda: not w.bare(), 4.0)
@@ -111,7 +110,7 @@
         async with world(tmp_path) as w:
             await w.catalogue.say(b'{"version":')
             await w.catalogue.put("q", "Terminating")  # told or not, as the watch is being had anew
-            await until(lambda: "q" in w.relay.shut or not any("q" in t for t in w.relay.tables.values()), 4.0)
+            await until(lambda: w.avoided("q"), 4.0)
             await w.catalogue.say(json.dumps({"version": 0, "full": False, "servers": []}).encode())
             await until(lambda: len(w.said("watch_broken")) > 1)
             w.catalogue.silent = True
@@ -161,7 +160,7 @@
                 assert await stranger.closed(3.0)
             await until(lambda: len(os.listdir(f"/proc/{w.process.pid}/fd")) < 40)
             await w.catalogue.put("q", "Terminating")
-            await until(lambda: "q" in w.relay.shut or not any("q" in t for t in w.relay.tables.values()), 3.0)
+            await until(lambda: w.avoided("q"), 3.0)
     run(scene)
 
 
