Orders keep make before break; charges that change under a call; older lists; crossings of signals

Suspicions of the issue, each confirmed by a property or a test that fails without its mend (seen: three properties of orders and charges, the planner begun anew), the rest read: - Orders.push put the newer order in the older one's place: a removal could so go before the addition it followed, and a call cut between left a slice bare; a level for one table could override a later one for all. A table's lines now go together, additions first. - Registry.carried_out wrote orders of a call into a charge given while the call was on its way. Such lines are said again as wanted now. - A planner begun anew was not told withdrawals and levels that wait. Waiting orders are indexed by table: overlay and forget cost one look. - A whole list of a lower version took the newer one's place, and an update of a lower version made the pilot forget its version. Older ones are passed over, within the settings' asking period; a change that cannot be read asks for the whole list; empty lines alone tell nothing. - A watch that dripped half a line never counted as silent; follow() was not closed at once; a watch overtaken by a second SIGHUP could stand up later and cancel the newest one; one that stood up and broke at once was dialled without a pause. - accept: a connection reset before it was taken turned a stranger out. hb before an offence was not answered; the wait for readiness ran on the caller's second to join. SIGHUP before its receiver was open ended the process; a fault beside the module ended the pilot.

--- a/damsonpick/edge/__main__.py
+++ b/damsonpick/edge/__main__.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import anyio
 
 from damsonpick.daemon import logs
 from damsonpick.edge import config
-from damsonpick.edge.pilot import Pilot
+from damsonpick.edge.pilot import SIGNALS, Pilot
 
 
 def main() -> int:
     """Serve until SIGTERM; 2 if the configuration cannot be used."""
+    # A signal that comes before its receiver is open waits for it: SIGHUP would end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     log = logs.configure("json", "info")
     try:
         pilot = Pilot(config.read(), log)
--- a/damsonpick/edge/calls.py
+++ b/damsonpick/edge/calls.py
@@ -77,13 +77,14 @@
         if call is None:
             return True
         self.made += 1
+        charges = self.registry.charges
         try:
             _, body = await caller.call("POST", "/txn", call.body, ANSWER)
         except http.Broken as error:
-            return await self._nobody_knows(str(error), call)
-        return await self._answered(caller, call, body)
+            return await self._nobody_knows(str(error), call, charges)
+        return await self._answered(caller, call, body, charges)
 
-    async def _nobody_knows(self, why: str, call: Call) -> bool:
+    async def _nobody_knows(self, why: str, call: Call, charges: int) -> bool:
         """Carried out once or not at all: said again, with what has come since.
 
         The first repeat follows at once, as the module leaves half of the channel free and a drain may be in it. If
@@ -91,20 +92,23 @@
         """
         self.unknown += 1
         self.running += 1
+        self.registry.unsure(call.orders, charges)
         self.log.warning("call_outcome_unknown", why=why, waiting=len(self.orders.waiting))
         if self.running > 1:
             await anyio.sleep(self.takes(len(call.orders)))
         return False
 
-    async def _answered(self, caller: http.Caller, call: Call, body: bytes) -> bool:
+    async def _answered(self, caller: http.Caller, call: Call, body: bytes, charges: int) -> bool:
         answer = read_answer(body, len(call.orders))
         if answer is None:
             await caller.close()
-            return await self._nobody_knows(f"unreadable answer {body[:80]!r}", call)
+            return await self._nobody_knows(f"unreadable answer {body[:80]!r}", call, charges)
         if answer.taken is None:
             return self._rejected(call, answer.error)
         stand, refused = self.orders.taken(call.orders, answer.taken)
-        self.registry.carried_out(stand)
+        self.registry.carried_out(stand, charges)
+        if self.registry.unsure(stand, charges):
+            self.log.info("said_again", why="the charge of a slice changed while its orders were being taken")
         self.log.info("call_taken", **count(stand))
         if refused is not None:
             self.log.warning("order_refused", order=repr(refused), at=answer.taken, of=len(call.orders))
--- a/damsonpick/edge/discovery.py
+++ b/damsonpick/edge/discovery.py
@@ -97,10 +97,14 @@
 
     Args:
         known: the list as the pilot last had it.
+        patience: ns for which what discovery tells may be older than what is known. A copy that lags catches up within
+            it; a discovery that counts anew does not, and is believed then.
     """
 
-    def __init__(self, known: Listing) -> None:
-        self.version = known.version
+    def __init__(self, known: Listing, patience: int = 10_000_000_000) -> None:
+        self.version, self.patience = known.version, patience
+        self.older_since: int | None = None  # ns: only older listings have come since
+        self.whole = False  # a change may be lost: ask for the whole list
         self.entries = {entry.endpoint: entry for entry in known.entries}
         self.fresh = False  # discovery has spoken since the start
 
@@ -110,22 +114,37 @@
         events: list[api.Event] = [api.ListChanged("restored", kept)]
         return [*events, api.ListChanged("replace", kept)] if self.fresh else events
 
-    def take(self, listing: Listing) -> api.ListChanged:
-        """The event that a listing is.
+    def since(self) -> int:
+        """The version from which changes are to be asked for; 0: the whole list."""
+        return 0 if self.whole else self.version
+
+    def take(self, listing: Listing, now: int) -> api.ListChanged | None:
+        """The event that a listing is; None: it is older than what is known, and changes nothing. An older copy would
+        bring drained and ended endpoints back.
 
         Raises:
-            ListingError: an update older than what is known: the whole list must be had.
+            ListingError: the whole list must be had.
         """
-        if not listing.full and listing.version < self.version:
-            raise ListingError(f"an update to version {listing.version} after {self.version}")
+        if listing.version < self.version and not self._believed(listing, now):
+            return None
         # A full list with an entry that cannot be read must not end that endpoint: the entry known before holds.
         kept = [self.entries[name] for name in listing.spoilt if listing.full and name in self.entries]
         entries = (*listing.entries, *kept)
         if listing.full:
-            self.entries = {}
+            self.entries, self.whole = {}, False
         for entry in entries:
             self.entries[entry.endpoint] = entry
             if entry.state == "terminated":
                 del self.entries[entry.endpoint]
-        self.version, self.fresh = listing.version, True
+        self.version, self.fresh, self.older_since = listing.version, True, None
         return api.ListChanged("replace" if listing.full else "update", entries)
+
+    def _believed(self, listing: Listing, now: int) -> bool:
+        """Whether a listing that is older than what is known is to be taken all the same."""
+        self.older_since = now if self.older_since is None else self.older_since
+        if now - self.older_since < self.patience:
+            return False
+        if not listing.full:
+            self.whole = True
+            raise ListingError(f"version {listing.version} after {self.version}, for {self.patience / 1e9:g} s")
+        return True
--- a/damsonpick/edge/door.py
+++ b/damsonpick/edge/door.py
@@ -17,10 +17,6 @@
 ALIVE = frames.frame(b'{"@type":"hb_ok"}')
 
 
-class Turned(Exception):
-    """This connection may not stay; the text says why."""
-
-
 class Heard(NamedTuple):
     """What bytes of a connection came to."""
 
@@ -29,6 +25,14 @@
     spoilt: list[str]  # messages dropped by themselves, with the reason
 
 
+class Turned(Exception):
+    """This connection may not stay; the text says why, `heard` what it said before."""
+
+    def __init__(self, why: str, heard: Heard | None = None) -> None:
+        super().__init__(why)
+        self.heard = heard or Heard([], 0, [])
+
+
 class Caller:
     """One connection at the pilot's address.
 
@@ -43,7 +47,7 @@
         self.last = 0  # ns: when bytes last came
 
     def feed(self, now: int, data: bytes) -> Heard:
-        """What the bytes say. What came before an offence counts and is in `Turned.args[1]`.
+        """What the bytes say. What came before an offence counts and is in `Turned.heard`.
 
         Raises:
             Turned: the connection is to be closed.
--- a/damsonpick/edge/orders.py
+++ b/damsonpick/edge/orders.py
@@ -1,14 +1,18 @@
 """What the module ordered and the relay has yet to take. Sans I/O.
 
 One call is under way at a time, and it is the oldest orders. What waits behind it is merged: of two orders for the
-same thing the newer one stays, in the older one's place, so that what waits is bounded by what there is to order. A
-call whose outcome is unknown was carried out once or not at all; as nothing newer was sent behind it, saying it
-again, merged with what has come since, ends in the wanted state either way.
+same thing only the newer one stays, so that what waits is bounded by what there is to order. A call whose outcome is
+unknown was carried out once or not at all; as nothing newer was sent behind it, saying it again, merged with what has
+come since, ends in the wanted state either way.
+
+What the module ordered as make before break stays so, wherever a call is cut and whether it is carried out or not:
+the lines of a table go together, in the place of the oldest of them, additions before removals. A withdrawal keeps
+the place of an older order for its endpoint; letting in and levels go last, behind what they were ordered after.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -30,14 +34,43 @@
 
 
 def key(order: Order) -> Key:
-    """What an order is about: of two with the same key only the later one counts."""
-    if isinstance(order, api.SetLine):
-        return ("line", order.table, order.endpoint)
+    """Where an order waits: a table's lines together, all else by what it is about."""
+    if isinstance(order, api.SetLine | api.ClearTable):
+        return ("table", order.table)
     if isinstance(order, api.Withdraw):
         return ("out", order.endpoint)
-    if isinstance(order, api.Admit):
-        return ("level", order.table, order.classes)
-    return ("table", order.table) if isinstance(order, api.ClearTable) else ("mark",)
+    return ("level", order.table, order.classes) if isinstance(order, api.Admit) else ("mark",)
+
+
+class TableOrders:
+    """What waits for one table."""
+
+    def __init__(self) -> None:
+        self.clear: api.ClearTable | None = None
+        self.lines: dict[str, api.SetLine] = {}  # by endpoint, the newest order last
+
+    def push(self, order: api.SetLine | api.ClearTable) -> None:
+        if isinstance(order, api.ClearTable):  # lines ordered before it would come to life again behind it
+            self.clear, self.lines = order, {}
+        else:
+            self.lines.pop(order.endpoint, None)
+            self.lines[order.endpoint] = order
+
+    def drop(self, order: api.SetLine | api.ClearTable) -> None:
+        """This one waits no more; one that was overtaken meanwhile stays."""
+        if self.clear is order:
+            self.clear = None
+        elif isinstance(order, api.SetLine) and self.lines.get(order.endpoint) is order:
+            del self.lines[order.endpoint]
+
+    def __iter__(self) -> Iterator[Order]:
+        if self.clear is not None:
+            yield self.clear
+        yield from (line for line in self.lines.values() if line.weight > 0)
+        yield from (line for line in self.lines.values() if line.weight <= 0)
+
+    def __bool__(self) -> bool:
+        return self.clear is not None or bool(self.lines)
 
 
 class Call(NamedTuple):
@@ -55,28 +88,43 @@
 
     def __init__(self, classes: tuple[str, ...], shift: int = 0) -> None:
         self.classes, self.shift = classes, shift
-        self.waiting: dict[Key, Order] = {}
+        self.waiting: dict[Key, Order | TableOrders] = {}
+
+    def __iter__(self) -> Iterator[Order]:
+        """What waits, in the order in which it will go."""
+        for order in self.waiting.values():
+            if isinstance(order, TableOrders):
+                yield from order
+            else:
+                yield order
 
     def push(self, orders: Iterable[Order]) -> None:
         """Orders of one step of the module, in order."""
         for order in orders:
             at = key(order)
-            if isinstance(order, api.ClearTable):  # lines ordered before it would come to life again behind it
-                self.forget(order.table)
-            if isinstance(order, api.Mark):  # the last mark answers for all before it, so it goes last
+            if isinstance(order, api.SetLine | api.ClearTable):
+                self.waiting.setdefault(at, TableOrders()).push(order)
+                continue
+            # The last mark answers for all before it. Of levels that overlap, the last one holds. An endpoint is let
+            # in behind the lines that were taken from it first.
+            if not (isinstance(order, api.Withdraw) and order.out):
                 self.waiting.pop(at, None)
             self.waiting[at] = order
 
     def forget(self, table: int) -> None:
-        """Orders for a table that is not ours any more, or is emptied, have no meaning left."""
-        for at in [k for k in self.waiting if k[0] in ("line", "table") and k[1] == table]:
-            del self.waiting[at]
+        """Orders for a table that is not ours any more have no meaning left."""
+        self.waiting.pop(("table", table), None)
+
+    def waits(self, table: int, endpoint: str) -> bool:
+        """Whether an order for this line has yet to be taken."""
+        orders = self.waiting.get(("table", table))
+        return orders is not None and endpoint in orders.lines
 
     def call(self) -> Call | None:
         """The next call, of the oldest orders; None: nothing waits."""
         parts: list[bytes] = []
         size, taken = len(b'{"ops":[]}'), []
-        for order in self.waiting.values():
+        for order in self:
             part = _ENCODE(self._op(order))
             if parts and size + len(part) + 1 > MOST_BYTES:
                 break
@@ -100,19 +148,41 @@
     def drop(self, orders: Iterable[Order]) -> None:
         """These wait no more; one that was overtaken meanwhile stays."""
         for order in orders:
-            if self.waiting.get(key(order)) is order:
-                del self.waiting[key(order)]
+            at = key(order)
+            there = self.waiting.get(at)
+            if isinstance(there, TableOrders):
+                there.drop(order)
+            if there is order or (isinstance(there, TableOrders) and not there):
+                del self.waiting[at]
 
     def overlay(self, table: int, lines: dict[str, float]) -> dict[str, float]:
         """Lines of a table once all that waits is carried out."""
         lines = dict(lines)
-        for order in self.waiting.values():
-            if isinstance(order, api.ClearTable) and order.table == table:
+        for order in self.waiting.get(("table", table), ()):
+            if isinstance(order, api.ClearTable):
                 lines.clear()
-            elif isinstance(order, api.SetLine) and order.table == table:
+            else:
                 apply(lines, order)
         return lines
 
+    def overlay_shut(self, shut: Iterable[str]) -> tuple[str, ...]:
+        """Endpoints that are withdrawn once all that waits is carried out."""
+        out = dict.fromkeys(shut)
+        for order in self.waiting.values():
+            if isinstance(order, api.Withdraw) and order.out:
+                out[order.endpoint] = None
+            elif isinstance(order, api.Withdraw):
+                out.pop(order.endpoint, None)
+        return tuple(out)
+
+    def overlay_levels(self, levels: dict[int, float]) -> tuple[float, ...]:
+        """Levels of all tables, by class, once all that waits is carried out."""
+        levels = dict(levels)
+        for order in self.waiting.values():
+            if isinstance(order, api.Admit) and order.table is None:
+                levels.update((k, order.level) for k in order.classes or range(len(self.classes)))
+        return tuple(levels.get(k, 1.0) for k in range(len(self.classes)))
+
     def mark_of(self, nonce: int) -> int:
         """The module's mark behind a number that the relay tells."""
         return (nonce - self.shift) % MARKS
--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+import errno
 import random
 import signal
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -31,6 +33,8 @@
 READY_WITHIN = 1.0  # s after which signs of life are given although the relay or discovery has not spoken
 WRITE_WITHIN = 1.0  # s that an answer may wait for its reader
 READ = 65_536
+SIGNALS = signal.SIGTERM, signal.SIGHUP
+NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM  # accepting fails until something is let go
 
 
 class NewsReader:
@@ -74,24 +78,37 @@
 
     def __init__(self, pilot: Pilot) -> None:
         self.pilot = pilot
+        self.at: int | None = None  # version that this watch has told
 
     def path(self) -> str:
-        return f"/catalog/members?watch=1&from={self.pilot.roster.version}"
+        return f"/catalog/members?watch=1&from={self.pilot.roster.since()}"
 
     def take(self, lines: list[bytes]) -> bool:
         for line in filter(None, lines):
             try:
-                listing = discovery.decode(line)
-                event = self.pilot.roster.take(listing)
+                self._one(discovery.decode(line))
             except discovery.ListingError as error:
-                self.pilot.roster.version = 0  # ask for the whole list: a change may be lost in this line
+                self.pilot.roster.whole = True  # a change may be lost in this line
                 raise http.Broken(f"list: {error}") from None
-            for doubt in listing.doubts:
-                self.pilot.doubts.add("list", doubt)
-            self.pilot.tell(event)
+        if self.at is None:  # signs of life alone do not tell what stands
+            return False
         self.pilot.spoke("discovery")
         return True
 
+    def _one(self, listing: discovery.Listing) -> None:
+        if self.at is not None and listing.version < self.at:
+            raise discovery.ListingError(f"version {listing.version} after {self.at}")
+        self.at = listing.version
+        for doubt in listing.doubts:
+            self.pilot.doubts.add("list", doubt)
+        event = self.pilot.roster.take(listing, self.pilot.clock.now())
+        if event is None:
+            self.pilot.doubts.add("list", f"version {listing.version}: {self.pilot.roster.version} is known")
+        else:
+            self.pilot.tell(event)
+        if listing.spoilt and not listing.full:
+            raise discovery.ListingError("a change that cannot be read")
+
 
 class Pilot:
     """One pilot, from its configuration to open sockets.
@@ -109,7 +126,7 @@
         self.rng = random.Random(config.seed)
         self.loop = Loop(log)
         self.doubts = Doubts(log)
-        self.roster = discovery.Roster(config.known)
+        self.roster = discovery.Roster(config.known, config.settings.ask_every)
         names = tuple(c.name for c in config.settings.classes)
         self.orders = Orders(names, self.rng.randrange(MARKS))
         self.registry = Registry(self.orders, config.settings.proxies, config.settings.slices)
@@ -148,7 +165,8 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those that came during the start are received now
             self._begin()
             listener = await self._open()
             async with anyio.create_task_group() as group:
@@ -165,7 +183,10 @@
                 async for number in signals:
                     if number == signal.SIGTERM:
                         break
-                    self._reload(group)
+                    try:
+                        self._reload(group)
+                    except Exception as error:  # a reload must not end the pilot
+                        self.log.error("reload_failed", error=repr(error), exc_info=error)
                 group.cancel_scope.cancel()
         self.log.info("pilot_ended", name=self.config.name)
 
@@ -206,12 +227,10 @@
         while True:
             self.bell = anyio.Event()
             now = self.clock.now()
-            if self.loop.planner is None and now >= self.loop.restart_at:
-                self._begin()
-            if self.loop.planner is not None:
-                step = self.loop.advance(now)
-                if step is not None:
-                    self._carry_out(step)
+            try:
+                self._step(now)
+            except Exception as error:  # beside the module, which the loop guards: its orders may be lost with it
+                self.loop.give_up(now, error)
             self.beliefs.stepped(now, self.clock.now())
             await anyio.sleep(GATHER)
             if self.loop.planner is not None and self.loop.inbox:
@@ -221,6 +240,12 @@
             with anyio.move_on_after(pause):
                 await self.bell.wait()
 
+    def _step(self, now: int) -> None:
+        if self.loop.planner is None and now >= self.loop.restart_at:
+            self._begin()
+        if self.loop.planner is not None and (step := self.loop.advance(now)) is not None:
+            self._carry_out(step)
+
     def _carry_out(self, step: Step) -> None:
         """Orders go to the relay. A list that is wanted is on its way: it is watched at all times."""
         orders = [a for a in step.actions
@@ -254,8 +279,11 @@
                 stream = await listener.accept()
             except OSError as error:
                 self.doubts.add("accept", str(error))
-                self._turn_out(next((c for c in self.door.callers if not c.zone), None))
-                await anyio.sleep(0.05)  # running out must neither spin nor stop accepting for good
+                if error.errno in NO_ROOM:
+                    self._turn_out(next((c for c in self.door.callers if not c.zone), None))
+                    await anyio.sleep(0.05)  # running out must neither spin nor stop accepting for good
+                else:  # that connection alone was reset before it was taken: nobody else has to go
+                    await anyio.sleep(0)
                 continue
             caller = door.Caller(self.reports)
             self.scopes[caller] = anyio.CancelScope(deadline=anyio.current_time() + door.JOIN_WITHIN)
@@ -273,8 +301,8 @@
                     await self._hear(caller, stream, await stream.receive(READ))
         except door.Turned as error:
             self.doubts.add("turned away", f"{caller.zone or 'stranger'}: {error.args[0]}")
-            if len(error.args) > 1:
-                self.tell(*error.args[1].events)
+            with suppress(http.Broken):
+                await self._heed(caller, stream, error.heard)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, http.Broken):
             pass  # gone
         except Exception as error:  # one connection must not end the pilot
@@ -291,13 +319,22 @@
             self.scopes[caller].deadline = float("inf")
             for former in self.door.joined(caller):
                 self._turn_out(former)
+        await self._heed(caller, stream, heard)
+
+    async def _heed(self, caller: door.Caller, stream: SocketStream, heard: door.Heard) -> None:
+        """Act on what a connection said: reports are told, and each sign of life that was asked for is given."""
         for why in heard.spoilt:
             self.doubts.add("report", why)
         self.beliefs.reports += len(heard.events)
         self.tell(*heard.events)
-        if heard.beats:
-            await self.ready.wait()
-            await http.send(stream, door.ALIVE * heard.beats, WRITE_WITHIN)
+        if not heard.beats:
+            return
+        if not self.ready.is_set():
+            scope = self.scopes[caller]
+            left, scope.deadline = scope.deadline - anyio.current_time(), float("inf")
+            await self.ready.wait()  # of the time to join, the wait for us is not the caller's
+            scope.deadline = anyio.current_time() + left
+        await http.send(stream, door.ALIVE * heard.beats, WRITE_WITHIN)
 
 
 class Doubts:
--- a/damsonpick/edge/relay.py
+++ b/damsonpick/edge/relay.py
@@ -12,6 +12,8 @@
 from damsonpick.edge import messages
 from damsonpick.edge.orders import Order, Orders, apply
 
+SHUT_MOST = 4096  # withdrawals kept for a planner that takes the place of one that failed
+
 
 class Member(NamedTuple):
     """A joined proxy."""
@@ -54,7 +56,9 @@
         self.members: dict[int, Member] = {}
         self.tables: dict[int, dict[str, float]] = {}
         self.levels: dict[int, float] = {}  # by class, as taken for all tables
-        self.shut: dict[str, bool] = {}  # withdrawals that were taken
+        self.shut: dict[str, None] = {}  # endpoints whose withdrawal was taken, the newest last
+        self.charges = 0  # how often a charge may have changed
+        self.changed: dict[int, int] = {}  # by slice, at which of these its charge last did
 
     # -- news
 
@@ -63,9 +67,9 @@
         events: list[api.Event] = []
         for number, lines in self.tables.items():
             events += self._given(number, self.orders.overlay(number, lines))
-        if self.shut or min(self.levels.values(), default=1.0) < 1:
-            levels = tuple(self.levels.get(k, 1.0) for k in range(len(self.orders.classes)))
-            events.append(api.FleetRecalled(levels, tuple(self.shut), 0.0, 0.0))
+        shut, levels = self.orders.overlay_shut(self.shut), self.orders.overlay_levels(self.levels)
+        if shut or min(levels) < 1:
+            events.append(api.FleetRecalled(levels, shut, 0.0, 0.0))
         return events + [api.ProxyJoined(n, m.zone, m.weight, False) for n, m in self.members.items()]
 
     def reconcile(self, standing: Standing, gap: bool = True) -> list[api.Event]:
@@ -86,6 +90,8 @@
             if believed is None or self.orders.overlay(number, believed) != wanted:
                 events += self._given(number, wanted)
             self.tables[number] = lines
+            if gap:
+                self._charge(number)
         before = self.members
         same = {} if gap else {n: m for n, m in before.items() if standing.members.get(n) == m}
         self.members = dict(same)
@@ -121,6 +127,7 @@
             return []
         # An order that was meant for an earlier charge must not come to life in a later one.
         self.orders.forget(news.slice)
+        self._charge(news.slice)
         if news.on:
             self.tables[news.slice] = {}
         else:
@@ -144,23 +151,61 @@
 
     # -- orders
 
-    def carried_out(self, orders: tuple[Order, ...]) -> None:
-        """Orders that the relay has taken."""
+    def _charge(self, number: int) -> None:
+        self.charges += 1
+        self.changed[number] = self.charges
+
+    def carried_out(self, orders: tuple[Order, ...], charges: int | None = None) -> None:
+        """Orders that the relay has taken.
+
+        Args:
+            charges: as `self.charges` was when their call was made. Lines of a slice whose charge changed since are
+                left to `unsure`.
+        """
         for order in orders:
-            if isinstance(order, api.SetLine) and order.table in self.tables:
-                apply(self.tables[order.table], order)
-            elif isinstance(order, api.ClearTable) and order.table in self.tables:
-                self.tables[order.table].clear()
+            if isinstance(order, api.SetLine | api.ClearTable):
+                if order.table in self.tables and not self._since(order.table, charges):
+                    self._lay(order)
             elif isinstance(order, api.Withdraw):
                 self._shut(order)
             elif isinstance(order, api.Admit) and order.table is None:
                 self.levels.update((k, order.level) for k in order.classes or range(len(self.orders.classes)))
 
+    def _since(self, number: int, charges: int | None) -> bool:
+        return charges is not None and self.changed.get(number, 0) > charges
+
+    def _lay(self, order: api.SetLine | api.ClearTable) -> None:
+        if isinstance(order, api.SetLine):
+            apply(self.tables[order.table], order)
+        else:
+            self.tables[order.table].clear()
+
+    def unsure(self, orders: tuple[Order, ...], charges: int) -> bool:
+        """A call of these was made, and the charge of some of its slices changed before its answer was here.
+
+        They count as taken, or were taken, in the former charge, between the two or in the present one: nobody knows
+        whether they changed what stands now. The lines in question are ordered as they are wanted now; True if any is.
+        """
+        said = False
+        for order in orders:
+            if not isinstance(order, api.SetLine | api.ClearTable) or not self._since(order.table, charges):
+                continue
+            if order.table not in self.tables:
+                continue
+            wanted = self.orders.overlay(order.table, self.tables[order.table])
+            names = [order.endpoint] if isinstance(order, api.SetLine) else list(wanted)
+            again = [api.SetLine(order.table, n, wanted.get(n, 0.0)) for n in names
+                     if not self.orders.waits(order.table, n)]
+            self.orders.push(again)
+            said = said or bool(again)
+        return said
+
     def _shut(self, order: api.Withdraw) -> None:
+        self.shut.pop(order.endpoint, None)
         if order.out:
-            self.shut[order.endpoint] = True
-        else:
-            self.shut.pop(order.endpoint, None)
+            self.shut[order.endpoint] = None
+        while len(self.shut) > SHUT_MOST:  # the longest withdrawn are gone for good
+            del self.shut[next(iter(self.shut))]
 
     def refused(self, order: Order) -> list[api.Event]:
         """An order the relay would not take: the module is told the table as it is, to decide anew."""
--- a/damsonpick/edge/watches.py
+++ b/damsonpick/edge/watches.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
 from typing import Any, Protocol
 
 import anyio
@@ -15,6 +16,7 @@
 
 DIAL = 0.5  # s to a connection, and to the head of an answer
 FIRST, MOST = 0.04, 1.0  # s between tries: bounds of the first and of any
+LOOK = 0.05  # s for bytes that came during a long step, although the time is up
 
 
 class Reader(Protocol):
@@ -35,7 +37,7 @@
     """Whole lines of a watch, as many at a time as came together.
 
     Args:
-        silence: s without a byte after which a watch is dead though open.
+        silence: s without a whole line after which a watch is dead though open, and though it may drip.
 
     Raises:
         http.Broken: the watch has ended; the text says how.
@@ -43,13 +45,17 @@
     stream = await http.dial(address, DIAL)
     try:
         await http.send(stream, http.request("GET", path, address), DIAL)
-        answers = http.Answers(http.LINE_MOST)
+        answers, heard = http.Answers(http.LINE_MOST), anyio.current_time()
         while not answers.done:
-            answers.feed(await http.receive(stream, silence))
+            left = heard + silence - anyio.current_time()
+            answers.feed(await http.receive(stream, max(left, LOOK)))
             if answers.status() not in (0, 200):
                 raise http.Broken(f"status {answers.status()}: {bytes(answers.body[:80])!r}")
             if lines := answers.lines():
+                heard = anyio.current_time()
                 yield lines
+            elif anyio.current_time() - heard > silence:
+                raise http.Broken(f"no whole line for {silence:g} s")
         raise http.Broken("the answer ended")
     finally:
         await anyio.aclose_forcefully(stream)
@@ -87,7 +93,11 @@
         return self.standing is not None and self.standing.open and now - self.standing.heard < self.silence / 2
 
     def point(self, group: TaskGroup, address: Address) -> None:
-        """Follow this address from now on."""
+        """Follow this address from now on: it is dialled until another is named. One that was to be followed and
+        has not stood up yet is given up, so that it cannot do so later and take the newest one's place."""
+        if self.newest is not None and self.newest is not self.standing:
+            self.newest.over = True
+            self.newest.scope.cancel()
         self.newest = Link(address)
         group.start_soon(self._run, self.newest)
 
@@ -109,13 +119,18 @@
                     await anyio.sleep(redial.failed())
 
     async def _watch(self, link: Link, redial: Redial) -> None:
-        reader = self.reader()
-        async for lines in follow(link.address, reader.path(), self.silence):
-            if link.over:
-                return
-            link.heard = anyio.current_time()
-            if reader.take(lines):
-                redial.succeeded()
+        reader, began = self.reader(), anyio.current_time()
+        async with aclosing(follow(link.address, reader.path(), self.silence)) as watch:
+            async for lines in watch:
+                if link.over:
+                    return
+                now = link.heard = anyio.current_time()
+                if not reader.take(lines):
+                    if now - began > self.silence:
+                        raise http.Broken("what stands is not told")
+                    continue
+                if now - began > MOST:  # one that stands up and breaks at once must not be dialled without a pause
+                    redial.succeeded()
                 self._believe(link)
 
     def _believe(self, link: Link) -> None:
--- a/damsonpick/engine/loop.py
+++ b/damsonpick/engine/loop.py
@@ -78,6 +78,10 @@
             return False
         return True
 
+    def give_up(self, now: int, error: Exception) -> None:
+        """The owner failed where it begins a planner or carries out what one ordered: another takes its place."""
+        self._failed(now, [], error)
+
     def _failed(self, now: int, events: list[api.Event], error: Exception) -> None:
         """Guards against a module that fails on what it is told: the last orders stay in force meanwhile."""
         self.failures = self.failures + 1 if now - self.failed_at < CALM else 1
