--- a/damsonpick/standins/catalogue.py
+++ b/damsonpick/standins/catalogue.py
@@ -23,6 +23,9 @@
         self.history: list[tuple[int, dict[str, Any]]] = []
         self.asked: list[str] = []
         self.down = False
+        self.held = False  # watches are answered once the gate is opened
+        self.mute = False  # watches begin with a sign of life, and tell nothing
+        self.gate = plain.Gate()
 
     def entry(self, name: str, state: str = "Ready", **more: Any) -> dict[str, Any]:
         return {"id": name, "addr": "127.0.0.1:1", "zone": self.zone, "kind": "k", "cell": 0, "state": state,
@@ -47,6 +50,8 @@
         if self.down:
             await stream.send(plain.answer(b"", "503 Service Unavailable"))
             return False
+        if self.held:
+            await self.gate.pass_through()
         query = parse_qs(urlsplit(asked.target).query)
         whole = json.dumps(self._listing(True, list(self.servers.values()))).encode()
         if "watch" not in query:
@@ -55,5 +60,5 @@
         since = int(query["from"][0])
         if 0 < since <= self.version:  # it remembers all changes since its start
             whole = json.dumps(self._listing(False, [e for v, e in self.history if v > since])).encode()
-        await self.watch(stream, [whole])
+        await self.watch(stream, [b"" if self.mute else whole])
         return False
--- a/damsonpick/standins/plain.py
+++ b/damsonpick/standins/plain.py
@@ -53,6 +53,17 @@
             return None
 
 
+class Gate:
+    """Holds what comes to it until it is opened, so that a test can have something else happen first."""
+
+    def __init__(self) -> None:
+        self.reached, self.opened = anyio.Event(), anyio.Event()
+
+    async def pass_through(self) -> None:
+        self.reached.set()
+        await self.opened.wait()
+
+
 Serve = Callable[[Asked, SocketStream], Awaitable[bool]]
 
 
@@ -108,6 +119,12 @@
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                 self.watchers.discard(stream)
 
+    async def drip(self, data: bytes) -> None:
+        """Bytes that are no whole line to all watchers."""
+        for stream in list(self.watchers):
+            with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+                await stream.send(chunk(data))
+
     async def cut(self) -> None:
         """Cut all watches."""
         for stream in list(self.watchers):
--- a/damsonpick/standins/relay.py
+++ b/damsonpick/standins/relay.py
@@ -2,7 +2,8 @@
 
 Faults of calls are taken from `faults`, one a call: `lost` and `silent` are carried out and cut or never answered,
 `cut` and `mute` are neither carried out nor answered, `spoilt` and `huge` are carried out with an answer that can't be
-read, `busy` and `syntax` are rejected; a number halts at that order.
+read, `busy` and `syntax` are rejected, `owed` is answered while its marks are not; a number halts at that order.
+`held` is carried out and answered once its gate is opened, so that something else can happen first.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
         self.shut: set[str] = set()
         self.faults: deque[str | int] = deque()
         self.calls = 0
+        self.gate = plain.Gate()
 
     async def serve(self, asked: plain.Asked, stream: SocketStream) -> bool:
         if asked.method == "GET" and asked.target == "/watch":
@@ -63,17 +65,39 @@
             await anyio.sleep_forever()
         taken = min(fault, len(ops)) if isinstance(fault, int) else len(ops)
         marks = [op["nonce_out"] for op in ops[:taken] if not self._carry_out(op)]
-        for mark in marks if not self.silent else ():
+        for mark in marks if not self.silent and fault != "owed" else ():
             for proxy in list(self.members):
                 await self.say(_news("done", proxy=proxy, mark=mark, took_ms=1.0))
         if fault == "lost":
             return False
+        if fault == "held":
+            await self.gate.pass_through()
         if fault == "silent":
             await anyio.sleep_forever()
         bodies = {"spoilt": b'{"taken":-1}', "huge": b'{"taken":999999}'}
         await stream.send(plain.answer(bodies.get(str(fault), json.dumps({"taken": taken}).encode())))
         return True
 
+    async def withdraw(self, number: int) -> dict[str, float]:
+        """Take a slice from the pilot; its lines as they stand."""
+        lines = self.tables.pop(number)
+        await self.say(_news("owner", slice=number, on=False))
+        return lines
+
+    async def give(self, number: int, lines: dict[str, float]) -> None:
+        """Give the pilot a slice with these lines."""
+        self.tables[number] = dict(lines)
+        await self.say(_news("owner", slice=number, on=True))
+        for name, weight in lines.items():
+            await self.say(_news("entry", slice=number, server=name, weight=weight))
+
+    async def leave_and_return(self) -> None:
+        """All proxies leave and join again, with what they hold."""
+        for member in self.members.values():
+            await self.say(_news("detach", proxy=member["proxy"]))
+            member["fresh"] = False
+            await self.say(_news("attach", **member))
+
     def _carry_out(self, op: dict[str, Any]) -> bool:
         """Carry out an order; False: it is a mark."""
         kind = op["op"]
--- a/tests/test_full_size.py
+++ b/tests/test_full_size.py
@@ -104,3 +104,19 @@
     fair = ramp * 240 / (20 + 4 * ramp)  # slices, as all are alike
     assert not world.bare()
     assert all(world.count(name) <= 1.5 * fair for name in cold)
+def test_slice_taken_away_in_the_middle_of_a_search_gets_no_order():
+    world = fleet()
+    until_searching(world)
+    world.log.clear()
+    world.tell(*(api.CustodyChanged(n, False) for n in range(120)))
+    assert world.planner.search
+    for number in range(120):
+        world.tables.pop(number)
+    while world.planner.search:
+        world.now += SECOND // 100
+        world.tell(api.TimerFired(0))
+    orders = [o for o in world.log if isinstance(o, api.SetLine)] + world.run(1)
+    assert not [o for o in orders if isinstance(o, api.SetLine) and o.table < 120]
+    assert [o for o in orders if isinstance(o, api.SetLine)]
+
+
