--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -21,11 +21,11 @@
 SLOP = 0.3  # share off the mean that is still even: slices are lumpy
 STEP_FACTOR, MAX_STEPS = 1.0, 20_000  # steps per slice and endpoint; a round's most, bounds the CPU
 PART, REST = 1000, SECOND // 200  # steps of a search at a time, ns between parts: news and drains go first
-MIN_GAIN = 0.002  # cost a kept step must save
+MIN_GAIN = 0.032  # cost a kept step must save, a part for each endpoint: a step concerns two of them
 HEAT_TAU, WARM_TAU = 9.0, 15.0  # s over which heat is averaged; in which an endpoint warms to a slice
 SURGE, SURGE_SHARE = 3.0, 0.7  # times the average at which demand has jumped; how much of it counts at once
-COUNT_COST, HEAT_COST, WARM_COST = 0.1, 4.0, 1.5  # cost weights: heat is what queues
-MOVE_CAP = 0.07  # share of own slices that a round may move
+COUNT_COST, HEAT_COST, WARM_COST = 0.025, 1.0, 1.5  # cost weights: heat is what queues
+MOVE_CAP = 0.02  # share of own slices that a round may move
 # -- exceptions
 HOT_SHARE = 0.1  # of an average endpoint's fair heat: a slice above this gets further lines
 COLD_PACE = 1.5  # times the fleet's best pace: the most let in while most of it is cold
@@ -43,6 +43,7 @@
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 STEPS = 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0  # levels for all; no class is shut out
 RECALL_GAIN, RECALL_MOST = 0.6, 1.5  # first correction of a recalled speed; most of a recalled best, to seen
+SHUT_MOST = 2000  # withdrawals remembered: one that is listed anew is let in
 LAST_RESORT = 0.05  # trust below which an endpoint is only better than none
 RETRY = 1  # once, at another endpoint, on proof that the first never ran: safe for all, no double load
 # -- channel
@@ -259,7 +260,7 @@
         if not event.fresh:  # it keeps withdrawals of earlier streams; of our earlier lives, who knows which
             if event.proxy not in self.met:
                 self.shut = dict.fromkeys(self.endpoints, False) | self.shut
-            self.restate = list(self.shut)
+            self.restate = [n for n in self.shut if n in self.endpoints]
         self.met[event.proxy] = event.zone
 
     def on_ProxyLeft(self, event: api.ProxyLeft) -> None:
@@ -275,7 +276,7 @@
         self.dirty.pop(event.slice, None)
         if event.owned:
             self.slices[event.slice] = Slice(event.slice, list(self.rates), self.now)
-            # Reports cover it in part at first: few answers would pass for a fleet that can give no more.
+            # Reports cover it in part at first.
             self.cut_at = self.now
         if had and self.slices:  # what is allowed is allowed for the slices in charge
             self.allow, self.best = (x * len(self.slices) / had for x in (self.allow, self.best))
@@ -296,6 +297,8 @@
             return
         span = event.period / SECOND
         rate, share = event.requests / span, 1 - math.exp(-span / HEAT_TAU)
+        if self.young(piece.since):
+            rate = max(rate, piece.rates[k])  # it counts what came since the slice is ours
         surge = not piece.heard[k] or rate > SURGE * (piece.rates[k] + 1)
         piece.rates[k] += (SURGE_SHARE if surge else share) * (rate - piece.rates[k])
         piece.heard[k] = self.report_at = self.now
@@ -353,7 +356,7 @@
 
     def barred(self, name: str) -> bool:
         """No proxy may send there: told so by the list. Before a fresh list, the store is trusted."""
-        state = self.endpoints[name].state
+        state = self.endpoints[name].state if name in self.endpoints else "terminated"
         return state in ("terminating", "terminated") or (state == "unlisted" and self.listed)
 
     def ramp(self, ep: Endpoint) -> float:
@@ -404,12 +407,20 @@
                     piece.homes.remove(home)
                     load[home] -= heat
             if not piece.homes and cap and (piece.weights or not piece.laid):  # some tables are to be empty
-                best = self.roomiest(cap, load, piece.heat, mean, None)
+                best = self.roomiest(self.known(piece, cap), load, piece.heat, mean, None)
                 piece.homes = [best]
                 load[best] += piece.heat
             if piece.astray():
                 self.dirty[piece.number] = piece
 
+    def young(self, since: int) -> bool:
+        """Whether reports can cover the time in our charge in part at most: heat is not known yet."""
+        return self.now - since <= self.settings.report_period + 2 * self.span
+
+    def known(self, piece: Slice, cap: dict[str, float]) -> dict[str, float]:
+        """Where a slice may go as far as its heat is known: one that may be hot, to no cold endpoint."""
+        return {n: c for n, c in cap.items() if not self.tender(n)} or cap if self.young(piece.since) else cap
+
     def roomiest(self, cap: dict, load: dict, heat: float, mean: float, taken: list | None) -> str | None:
         """Where heat adds least per capacity; a cold endpoint only within its share, but for `taken` None."""
         levels = {n: (load[n] + heat) / room for n, room in cap.items() if n not in (taken or ())}
@@ -456,13 +467,19 @@
             self.rates[k] = sum(heard) / len(heard) if heard else self.rates[k]
         for piece in self.slices.values():
             for k, heard in enumerate(piece.heard):
-                if self.now - max(heard, piece.since) > period + 2 * self.span:
+                if self.now - heard > period + 2 * self.span and not self.young(piece.since):
                     piece.rates[k] *= fade
                 elif piece.guessed and not heard:
                     piece.rates[k] = self.rates[k]
             for name in [*piece.warmth, *(h for h in piece.homes if h not in piece.warmth)]:
                 aim = float(name in piece.homes)
                 piece.warmth[name] = aim + (piece.warmth.get(name, 0.0) - aim) * warm
+            piece.warmth = {n: w for n, w in piece.warmth.items() if w > 0.01}
+        # What is gone and in none of our tables is forgotten: ids are many, and never the same again.
+        named = {n: True for p in self.slices.values() for n in (*p.lines, *p.homes)}
+        self.endpoints = {n: e for n, e in self.endpoints.items() if e.state != "terminated" or n in named}
+        while len(self.shut) > SHUT_MOST:
+            del self.shut[next(iter(self.shut))]
 
     def learn_speed(self) -> None:
         """Exception (doubt: listed weight does not tell speed): capacity follows latency, and the share that
@@ -489,17 +506,22 @@
         cap = self.usable()
         fresh = [e for e in map(self.endpoints.get, cap) if self.now - e.heard <= 2 * self.span and e.rate]
         good = sum(e.rate for e in fresh)
+        rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
+        let_in = sum(level * rate for level, rate in zip(self.level, rates, strict=True))
+        # Reports of a large fleet, or after a start, cover a part: it would pass for all that can be given.
+        # What share was answered there holds for the rest.
+        share = sum(e.tries - e.fails for e in fresh) / (sum(e.tries for e in fresh) or 1.0)
+        good = max(good, min(share * let_in, good / max(0.1, self.covered(cap))))
         # The middle of what all zones met: slow links, or servers, that are fewer than half do not shed.
         # A view that heard nothing since fades: a jam that is over would else be seen where few still ask.
         views, seen = sorted((v[6] / v[5], v[5] * math.exp((v[4] - self.now) / SECOND / LATE_TAU))
                              for e in fresh for v in e.views.values() if v[5] > 0), 0.0
         half = sum(n for _, n in views) / 2
         late = next((time for time, n in views if (seen := seen + n) >= half), 0.0) / self.aim
-        rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
         if self.taken_over:  # what the levels of the earlier life let in is the first allowance
             self.taken_over, self.hearsay = False, True
             if min(self.level) < 1:
-                self.allow = sum(level * rate for level, rate in zip(self.level, rates, strict=True))
+                self.allow = let_in
         self.best = max(good, self.best * BEST_KEPT)
         self.usual = min(late or math.inf, self.usual / USUAL_KEPT)
         if late > SHED_LATENCY:
@@ -522,6 +544,15 @@
         if self.settings.admission == "ratio":
             self.wanted = self.levels(self.admitted, rates)
 
+    def covered(self, cap: dict[str, float]) -> float:
+        """Share of the capacity that our slices are on, and of the zones that use it, heard of lately."""
+        zones = len(dict.fromkeys(self.met.values())) or 1
+        homes = {h: True for p in self.slices.values() for h in p.homes if h in cap}
+        late = self.now - 2 * self.span
+        seen = sum(cap[h] * min(1.0, self.endpoints[h].seen / zones) for h in homes
+                   if self.endpoints[h].heard >= late)
+        return seen / (sum(cap[h] for h in homes) or 1.0)
+
     def levels(self, share: float, rates: list[float]) -> tuple[float, ...]:
         """Admission level of each class where this share of demand can be let in: the most worth first."""
         left, result = share * sum(rates), [1.0] * len(rates)
@@ -540,12 +571,14 @@
         load = self.loads(cap)
         mean = (sum(load.values()) + 1e-9) / (sum(cap.values()) + 1e-9)
         fair = mean * max(cap.values(), default=1.0)
+        whole = fair * max(1.0, self.settings.slices / (len(self.slices) or 1))  # and that of others
         part, budget = self.part(mean, 1.0), max(4, int(ROUND_MESSAGES * self.channel.lines(BALANCE, 0.0)))
         for piece in sorted(self.slices.values(), key=lambda p: (-p.heat, p.number)):
             have = len(piece.homes) if not piece.laid else 0
-            need = min(3, max(1, math.ceil(piece.heat / (HOT_SHARE * fair))))
+            need = max(1, math.ceil(piece.heat / (HOT_SHARE * fair)))
+            need = min(need, max(3, math.ceil(piece.heat / whole)))
             if need > have > 0 < budget and any(load[h] > mean * cap[h] for h in piece.homes):
-                best = self.roomiest(cap, load, piece.heat / (have + 1), part, piece.homes)
+                best = self.roomiest(self.known(piece, cap), load, piece.heat / (have + 1), part, piece.homes)
                 if best and load[best] < mean * cap[best]:
                     load.update((h, load[h] - piece.heat / have / (have + 1)) for h in piece.homes)
                     piece.homes.append(best)
@@ -583,7 +616,7 @@
         again = room[FAILURE] / (2 if self.dirty else 1)  # what is said again leaves room for bare slices
         while self.restate and len(lines) < again:
             name = self.restate.pop()
-            lines += [api.Withdraw(name, self.shut[name])] if name not in out else []
+            lines += [api.Withdraw(name, self.shut[name])] if name in self.shut and name not in out else []
         if (self.greet or self.wanted != self.level) and room[FAILURE] > len(lines) + 2:
             self.greet, self.level = False, self.wanted
             lines += [api.Admit(None, (k,), level, RETRY) for k, level in enumerate(self.wanted)]
@@ -649,7 +682,6 @@
         self.total, self.weight = sum(self.load) or 1.0, sum(self.cap) or 1.0
         self.most = COLD_HEADROOM * planner.part(self.total, self.weight)  # heat per capacity where cold
         self.level = [x / w for x, w in zip(self.load, self.cap, strict=True)]
-        self.worst = 1 / min(self.cap, default=1.0) - 1 / self.weight  # of any spread
         # Squares of heat and count per capacity; warmth lost by moves, in heat; units away from their start.
         self.sums = (sum(x * x / w for x, w in zip(self.load, self.cap, strict=True)),
                      sum(len(x) ** 2 / w for x, w in zip(self.on, self.cap, strict=True)), 0.0, 0)
@@ -663,8 +695,9 @@
                    for have, mean in even for x, w in zip(have, self.cap, strict=True))
 
     def spread(self, squares: float, total: float) -> float:
-        """Spread per weight, from 0 (even) to 1 (all on the smallest endpoint)."""
-        return math.sqrt(max(0.0, squares / (total * total) - 1 / self.weight) / max(1e-9, self.worst))
+        """Spread per weight, against the mean: 0 is even. Exception (scaled to 1 for all on the smallest,
+        what a move saves falls faster with the size of the fleet than the warmth it costs, and none pays)."""
+        return math.sqrt(max(0.0, squares * self.weight / (total * total) - 1))
 
     def cost(self, heat_sq: float, count_sq: float, lost: float) -> float:
         return (COUNT_COST * self.spread(count_sq, len(self.units))
@@ -698,10 +731,9 @@
             self.level[end] = self.load[end] / self.cap[end]
 
     def loss(self, unit: int, end: int) -> float:
-        warmth, names, start = self.units[unit][0].warmth, self.names, self.start[unit]
-        if end == start:
-            return 0.0
-        return self.heat[unit] * max(0.0, warmth.get(names[start], 0.0) - warmth.get(names[end], 0.0))
+        warmth = self.units[unit][0].warmth
+        start, there = (warmth.get(self.names[e], 0.0) for e in (self.start[unit], end))
+        return self.heat[unit] * max(0.0, start - there)
 
     def pick(self) -> list[tuple[int, int]]:
         """One of the three pickers: random swap, most to least loaded, a slice to its warmest server."""
@@ -724,13 +756,15 @@
 
     def allowed(self, unit: int, to: int) -> bool:
         piece, _ = self.units[unit]
-        fits = not self.cold[to] or self.load[to] + self.heat[unit] <= self.most * self.cap[to]
+        room = self.load[to] + self.heat[unit] <= self.most * self.cap[to]
+        fits = not self.cold[to] or (room and not self.planner.young(piece.since))
         return fits and (to == self.start[unit] or self.names[to] not in piece.homes)  # each home once
 
     def run(self) -> Iterator[None]:
         """Keep a step only if it is cheaper by the least gain; then slices follow. Yields between
         parts."""
         most, best = max(1, int(MOVE_CAP * len(self.planner.slices))), self.cost(*self.sums[:3])
+        least = MIN_GAIN / max(1, len(self.names))
         for step in range(min(MAX_STEPS, int(len(self.units) * len(self.names) * STEP_FACTOR))):
             if step % PART == PART - 1:
                 yield
@@ -738,7 +772,7 @@
             if not moves or not all(self.allowed(u, to) for u, to in moves):
                 continue
             sums = self.trial(moves)
-            if sums[3] <= most and (cost := self.cost(*sums[:3])) < best - MIN_GAIN:
+            if sums[3] <= most and (cost := self.cost(*sums[:3])) < best - least:
                 best, self.sums = cost, sums
                 for unit, to in moves:
                     self.shift(unit, to)
--- a/damsonpick/edge/beliefs.py
+++ b/damsonpick/edge/beliefs.py
@@ -36,10 +36,14 @@
         servers = {n: f"{e.state[:2]} heat={load[n]:.1f} lines={lines.get(n, 0)} speed={e.speed:.2f} "
                       f"ms={e.latency / 1e6:.0f} ok={e.sound:.2f}" for n, e in
                    ((n, planner.endpoints[n]) for n in named)}
+        now = planner.now
+        heard = [e for e in planner.endpoints.values() if e.heard and now - e.heard <= 2 * planner.span]
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.log.info(
             "beliefs", proxies=len(planner.channel.proxies), slices=len(planner.slices), levels=planner.level,
             allow=None if planner.allow == float("inf") else round(planner.allow, 1),
+            best=round(planner.best, 1), demand=round(sum(p.heat for p in planner.slices.values()), 1),
+            answered=round(sum(e.rate for e in heard), 1), heard=len(heard), span_s=round(planner.span / 1e9, 1),
             flights=len(planner.channel.flights),
             waiting=len(pilot.orders.waiting), dirty=len(planner.dirty), reports=self.reports, steps=self.steps,
             longest_ms=self.longest // 1_000_000, calls=pilot.calls.made, unknown=pilot.calls.unknown,
--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -17,7 +17,7 @@
 from damsonpick import interface as api
 from damsonpick.edge import config, discovery, door, frames, http, messages
 from damsonpick.edge.orders import MOST_BYTES, Orders, apply, read_answer
-from damsonpick.edge.relay import Registry, Standing
+from damsonpick.edge.relay import SHUT_MOST, Registry, Standing
 from damsonpick.edge.watches import Follower
 from damsonpick.standins.catalogue import Catalogue
 from fuzz import edge_messages
@@ -336,6 +336,13 @@
     assert registry.news(messages.Attach(0, "a", True))[0] == api.ProxyLeft(0)
 
 
+def test_what_the_registry_keeps_of_withdrawals_is_bounded():
+    registry = Registry(Orders(("x",)), 8, 8)
+    for k in range(3 * SHUT_MOST):
+        registry.carried_out((api.Withdraw(f"s{k}", True),))
+    assert len(registry.shut) == SHUT_MOST and f"s{3 * SHUT_MOST - 1}" in registry.shut
+
+
 def test_a_planner_begun_anew_is_told_withdrawals_and_levels_that_wait():
     orders = Orders(("x", "y"))
     registry = Registry(orders, 8, 8)
--- a/tests/test_full_size.py
+++ b/tests/test_full_size.py
@@ -104,7 +104,8 @@
     fair = ramp * 240 / (20 + 4 * ramp)  # slices, as all are alike
     assert not world.bare()
     assert all(world.count(name) <= 1.5 * fair for name in cold)
-def test_slice_taken_away_in_the_middle_of_a_search_gets_no_order():
+def test_slice_taken_away_in_the_middle_of_a_search_gets_no_order(monkeypatch):
+    monkeypatch.setattr(choice, "MOVE_CAP", 0.2)  # so that it moves some that are taken away and some that are not
     world = fleet()
     until_searching(world)
     world.log.clear()
@@ -120,3 +121,38 @@
     assert [o for o in orders if isinstance(o, api.SetLine)]
 
 
+
+
+def test_what_is_kept_of_replaced_endpoints_stays_bounded():
+    """Ids are never the same again: 3,000 of them come and go, and entries are counted where they could pile up."""
+    world, sizes = World(names=[f"a{k}" for k in range(8)], slices=24, proxies=4), []
+    for turn in range(1500):
+        world.now += SECOND
+        gone, new = world.names.pop(0), f"n{turn}"
+        world.names.append(new)
+        events = [api.ListChanged("update", (entry(new, started=world.now - 20 * SECOND), entry(gone, "terminating"))),
+                  *world.report()]
+        world.tell(*events)
+        world.now += SECOND
+        world.tell(api.ListChanged("update", (entry(gone, "terminated"),)), *world.report())
+        if turn % 7 == 0:
+            proxy = turn % 4
+            world.tell(api.ProxyLeft(proxy), api.ProxyJoined(proxy, "a", 5.0, False))
+        planner = world.planner
+        sizes.append((len(planner.endpoints), len(planner.restate), sum(len(p.warmth) for p in planner.slices.values()),
+                      len(planner.channel.flights), len(planner.dirty)))
+        assert not world.bare()
+    assert max(sizes[1000:]) <= max(sizes[:500]) and sizes[-1][0] < 40
+    assert len(world.planner.shut) <= choice.SHUT_MOST + len(world.planner.endpoints)
+
+
+def test_an_endpoint_that_was_forgotten_and_is_listed_anew_is_let_in():
+    world = World(slices=12)
+    world.tell(api.ListChanged("update", (entry("p", "terminated"),)))
+    world.run(4)
+    assert world.shut["p"] and "p" not in world.planner.endpoints
+    world.tell(api.ProxyLeft(0), api.ProxyJoined(0, "a", 5.0, False))
+    world.run(1)
+    world.tell(api.ListChanged("update", (entry("p"),)))
+    world.run(1)
+    assert not world.shut["p"]
