--- a/tests/test_full_size.py
+++ b/tests/test_full_size.py
@@ -156,3 +156,49 @@
     world.tell(api.ListChanged("update", (entry("p"),)))
     world.run(1)
     assert not world.shut["p"]
+
+
+def test_a_slice_heard_of_in_part_since_it_was_given_goes_to_no_cold_endpoint():
+    """roll+mass seed 1: taken over a second before, 1.5 of its 8.5 requests a second heard, alone on a cold server."""
+    world = World(names=NAMES[:40], slices=120, proxies=40, channel_rate=40_000.0, channel_limit=60_000.0)
+    for _ in range(12):
+        world.now += SECOND
+        world.tell(*world.report())
+    for number in range(120, 160):
+        world.tables[number] = {"e000": 1.0}
+        world.tell(api.CustodyChanged(number, True), api.StoredLine(number, "e000", 1.0))
+    cold = [f"z{k}" for k in range(20)]
+    world.tell(api.ListChanged("update", tuple(entry(n, started=world.now - 2 * SECOND) for n in cold)))
+    world.now += SECOND
+    world.tell(*(api.SliceDemand(n, k, 1, 0, SECOND) for n in range(120, 160) for k in ("cheap", "dear")))
+    assert min(sum(world.planner.slices[n].rates) for n in range(120, 160)) > 10  # 20 a second is usual
+    world.tell(api.ListChanged("update", (entry("e000", "terminating"),)))
+    assert not world.bare()
+    assert not [n for n in range(120, 160) if world.live(n) & set(cold)]
+
+
+def test_reports_that_cover_a_part_of_the_fleet_do_not_pass_for_all_it_can_give():
+    """roll+mass seed 1: a pilot that had heard of 122 of 200 endpoints cut to a quarter of what came."""
+    world = World(names=NAMES[:80], slices=160, proxies=40, channel_rate=40_000.0, channel_limit=60_000.0)
+    for _ in range(8):
+        world.now += SECOND
+        # 10 requests a second for each slice, 20 answers a second of each endpoint, a fifth of which are heard of.
+        world.tell(*(api.SliceDemand(n, k, 5, 0, SECOND) for n in world.tables for k in ("cheap", "dear")),
+                   *(api.EndpointReport("a", n, 20, 0, 700_000_000, SECOND, ()) for n in world.names[:16]))
+    planner = world.planner
+    assert planner.allow < 1600, "answers are late: less is let in"
+    assert planner.allow > 0.4 * 1600
+    assert max(world.levels.values()) == 1.0
+
+
+def test_a_slice_hotter_than_several_servers_gets_as_many_lines_as_keep_each_at_its_part():
+    """Three lines were enough for fleets of twenty: a key that draws a thirtieth of all traffic is seven servers."""
+    world = World(names=NAMES[:60], slices=72, proxies=40, channel_rate=40_000.0, channel_limit=60_000.0)
+    world.planner.settings = world.settings._replace(slices=360)  # the other pilots' are as many for each
+    for _ in range(30):
+        world.now += SECOND
+        world.tell(*(api.SliceDemand(n, "cheap", 300 if n == 7 else 6, 0, SECOND) for n in world.tables),
+                   *(api.EndpointReport("a", n, 40, 0, 150_000_000, SECOND, ()) for n in world.names))
+    fair = (300 + 71 * 6) / 60 * 360 / 72
+    assert 300 / fair - 1 <= len(world.live(7)) <= 300 / fair + 2 and len(world.live(7)) > 3
+    assert max(len(world.live(n)) for n in world.tables if n != 7) <= 3
