Ended servers are forgotten only after 300 s, when no proxy comes back with a line of them

Logs of all pilots: 239 of 240 proxies from 18.4 to 22.4 s, endpoints 200, 199, 198 in that time; calls with the withdrawal taken by all; nothing waited; tables right.

--- a/damsonpick/choice.py
+++ b/damsonpick/choice.py
@@ -43,7 +43,7 @@
 CUT_HOLD = 3 * SECOND  # ns until a cut shows in the reports
 STEPS = 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0  # levels for all; no class is shut out
 RECALL_GAIN, RECALL_MOST = 0.6, 1.5  # first correction of a recalled speed; most of a recalled best, to seen
-SHUT_MOST = 2000  # withdrawals remembered: one that is listed anew is let in
+SHUT_MOST, AWAY = 2000, 300 * SECOND  # withdrawals remembered; time that a proxy may be away and come back
 LAST_RESORT = 0.05  # trust below which an endpoint is only better than none
 RETRY = 1  # once, at another endpoint, on proof that the first never ran: safe for all, no double load
 # -- channel
@@ -205,7 +205,7 @@
         self.changed, self.landed, self.over = True, True, 0.0
         self.rates = [0.0] * len(settings.classes)  # usual ones of a slice
         self.search: Iterator[None] | None = None  # under way
-        self.search_at = 0  # when it goes on
+        self.search_at, self.gone = 0, {}  # when it goes on; since when endpoints are gone for good
         self.out: list[api.Action] = []
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
@@ -475,9 +475,12 @@
                 aim = float(name in piece.homes)
                 piece.warmth[name] = aim + (piece.warmth.get(name, 0.0) - aim) * warm
             piece.warmth = {n: w for n, w in piece.warmth.items() if w > 0.01}
-        # What is gone and in none of our tables is forgotten: ids are many, and never the same again.
+        # Gone and in no table: forgotten once no proxy that was away may come back with a line of it.
         named = {n: True for p in self.slices.values() for n in (*p.lines, *p.homes)}
-        self.endpoints = {n: e for n, e in self.endpoints.items() if e.state != "terminated" or n in named}
+        self.gone = {n: self.gone.get(n, self.now) for n, e in self.endpoints.items()
+                     if e.state == "terminated" and n not in named}
+        gone = {n: True for n, since in self.gone.items() if self.now - since > AWAY}
+        self.endpoints = {n: e for n, e in self.endpoints.items() if n not in gone}
         while len(self.shut) > SHUT_MOST:
             del self.shut[next(iter(self.shut))]
 
@@ -508,8 +511,7 @@
         good = sum(e.rate for e in fresh)
         rates = [sum(p.rates[k] for p in self.slices.values()) for k in range(len(self.level))]
         let_in = sum(level * rate for level, rate in zip(self.level, rates, strict=True))
-        # Reports of a large fleet, or after a start, cover a part: it would pass for all that can be given.
-        # What share was answered there holds for the rest.
+        # Reports of a large fleet, or after a start, cover a part: the share answered there holds for all.
         share = sum(e.tries - e.fails for e in fresh) / (sum(e.tries for e in fresh) or 1.0)
         good = max(good, min(share * let_in, good / max(0.1, self.covered(cap))))
         # The middle of what all zones met: slow links, or servers, that are fewer than half do not shed.
@@ -761,8 +763,7 @@
         return fits and (to == self.start[unit] or self.names[to] not in piece.homes)  # each home once
 
     def run(self) -> Iterator[None]:
-        """Keep a step only if it is cheaper by the least gain; then slices follow. Yields between
-        parts."""
+        """Keep a step only if it is cheaper by the least gain; slices follow at the end. In parts."""
         most, best = max(1, int(MOVE_CAP * len(self.planner.slices))), self.cost(*self.sums[:3])
         least = MIN_GAIN / max(1, len(self.names))
         for step in range(min(MAX_STEPS, int(len(self.units) * len(self.names) * STEP_FACTOR))):
