A failing answer to a connection that is turned away does not end the pilot

Found reading the change: what an offender said before was heeded inside an except clause, beside the handlers of the same try, so that any fault there ended every task of the pilot. It is heeded inside the guarded part now. The new test fails without it (seen).

--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -9,7 +9,6 @@
 import random
 import signal
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -297,12 +296,7 @@
     async def _attend(self, caller: door.Caller, stream: SocketStream) -> None:
         try:
             with self.scopes[caller]:
-                while True:
-                    await self._hear(caller, stream, await stream.receive(READ))
-        except door.Turned as error:
-            self.doubts.add("turned away", f"{caller.zone or 'stranger'}: {error.args[0]}")
-            with suppress(http.Broken):
-                await self._heed(caller, stream, error.heard)
+                await self._serve(caller, stream)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, http.Broken):
             pass  # gone
         except Exception as error:  # one connection must not end the pilot
@@ -312,6 +306,15 @@
             self.door.leave(caller)
             await anyio.aclose_forcefully(stream)
 
+    async def _serve(self, caller: door.Caller, stream: SocketStream) -> None:
+        """Take in what a connection says until it goes or has to."""
+        try:
+            while True:
+                await self._hear(caller, stream, await stream.receive(READ))
+        except door.Turned as error:
+            self.doubts.add("turned away", f"{caller.zone or 'stranger'}: {error}")
+            await self._heed(caller, stream, error.heard)  # what it said before counts
+
     async def _hear(self, caller: door.Caller, stream: SocketStream, data: bytes) -> None:
         new = not caller.zone
         heard = caller.feed(self.clock.now(), data)
--- a/tests/test_edge_crossings.py
+++ b/tests/test_edge_crossings.py
@@ -374,3 +374,23 @@
             await until(lambda: len(pushed) > 1)  # the next planner orders anew what the first one did
             assert made.loop.failures == 1 and set(pushed[0]) <= set(pushed[1])
     run(scene)
+
+
+def test_an_answer_that_fails_to_an_offender_ends_neither_the_pilot_nor_others():
+    async def scene():
+        async with pilot_in_here() as (made, port, _):
+            made.ready.set()
+            heed, failed = made._heed, []
+
+            async def fails(caller, stream, heard):
+                if heard.beats and not failed:
+                    failed.append(caller)
+                    raise RuntimeError("not answered")
+                await heed(caller, stream, heard)
+
+            made._heed = fails
+            offender = await Collector.dial(port)
+            await offender.raw(framed({"@type": "hb"}) + framed({"@type": "SET"}))
+            assert await offender.closed(2.0) and failed
+            assert await (await Collector.dial(port)).alive()
+    run(scene)
