Lines taken just before a slice is withdrawn and given again; a second SIGTERM

Such lines are ordered as they are wanted at the next sign of life. A second SIGTERM came behind the receiver and ended the pilot with a signal (-15 for 0, test of the held watch).

--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -62,6 +62,8 @@
         registry = self.pilot.registry
         if self.first is None:
             self.pilot.tell(*registry.news(news))
+            if self.pilot.orders.waiting:
+                self.pilot.calls.bell.set()
         elif isinstance(news, messages.Beat):
             standing, self.first = self.first, None
             gap = not self.pilot.news.reading()
@@ -181,6 +183,7 @@
                               settings=self.config.settings._asdict())
                 async for number in signals:
                     if number == signal.SIGTERM:
+                        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second one is no other end
                         break
                     try:
                         self._reload(group)
--- a/damsonpick/edge/relay.py
+++ b/damsonpick/edge/relay.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from damsonpick import interface as api
@@ -59,6 +60,8 @@
         self.shut: dict[str, None] = {}  # endpoints whose withdrawal was taken, the newest last
         self.charges = 0  # how often a charge may have changed
         self.changed: dict[int, int] = {}  # by slice, at which of these its charge last did
+        self.taken: list[dict[int, dict[str, None]]] = [{}, {}]  # lines taken since the last sign of life, and before
+        self.suspect: dict[int, dict[str, None]] = {}  # lines that a charge given meanwhile may hold, untold
 
     # -- news
 
@@ -113,6 +116,8 @@
             return [api.Applied(mark, news.proxy, delay)] if news.proxy in self.members else []
         if isinstance(news, messages.Owner):
             return self._own(news)
+        if isinstance(news, messages.Beat):
+            self._settle()
         return self._line(news) if isinstance(news, messages.Entry) else []
 
     def _join(self, news: messages.Attach) -> list[api.Event]:
@@ -132,6 +137,9 @@
             self.tables[news.slice] = {}
         else:
             self.tables.pop(news.slice, None)
+            # A call answered a moment ago may have come behind the next charge, whose first lines do not tell of it.
+            for lines in self.taken:
+                self.suspect.setdefault(news.slice, {}).update(lines.get(news.slice, {}))
         return [api.CustodyChanged(news.slice, news.on)]
 
     def _line(self, news: messages.Entry) -> list[api.Event]:
@@ -151,6 +159,19 @@
 
     # -- orders
 
+    def _settle(self) -> None:
+        """A sign of life: the first lines of what was given before it have been told."""
+        for number in [n for n in self.suspect if n in self.tables]:
+            self._again(number, self.suspect.pop(number))
+        self.taken = [{}, self.taken[0]]
+
+    def _again(self, number: int, names: Iterable[str]) -> bool:
+        """Order lines as they are wanted now, whatever stands; True if any was not ordered yet."""
+        wanted = self.orders.overlay(number, self.tables[number])
+        again = [api.SetLine(number, n, wanted.get(n, 0.0)) for n in names if not self.orders.waits(number, n)]
+        self.orders.push(again)
+        return bool(again)
+
     def _charge(self, number: int) -> None:
         self.charges += 1
         self.changed[number] = self.charges
@@ -177,6 +198,7 @@
     def _lay(self, order: api.SetLine | api.ClearTable) -> None:
         if isinstance(order, api.SetLine):
             apply(self.tables[order.table], order)
+            self.taken[0].setdefault(order.table, {})[order.endpoint] = None
         else:
             self.tables[order.table].clear()
 
@@ -192,12 +214,8 @@
                 continue
             if order.table not in self.tables:
                 continue
-            wanted = self.orders.overlay(order.table, self.tables[order.table])
-            names = [order.endpoint] if isinstance(order, api.SetLine) else list(wanted)
-            again = [api.SetLine(order.table, n, wanted.get(n, 0.0)) for n in names
-                     if not self.orders.waits(order.table, n)]
-            self.orders.push(again)
-            said = said or bool(again)
+            names = [order.endpoint] if isinstance(order, api.SetLine) else list(self.tables[order.table])
+            said = self._again(order.table, names) or said
         return said
 
     def _shut(self, order: api.Withdraw) -> None:
