A second SIGTERM cannot end the pilot by the signal; stand-ins write line by line

Seen in 4 of 18 runs of two tests: exit -15, as the handlers are gone once the receiver has closed; and the stand-in's sign of life met a line under way (BusyResourceError).

--- a/damsonpick/edge/pilot.py
+++ b/damsonpick/edge/pilot.py
@@ -183,13 +183,15 @@
                               settings=self.config.settings._asdict())
                 async for number in signals:
                     if number == signal.SIGTERM:
-                        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second one is no other end
+                        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
                         break
                     try:
                         self._reload(group)
                     except Exception as error:  # a reload must not end the pilot
                         self.log.error("reload_failed", error=repr(error), exc_info=error)
                 group.cancel_scope.cancel()
+        for number in SIGNALS:  # without their receiver, a second one would end it by the signal
+            signal.signal(number, signal.SIG_IGN)
         self.log.info("pilot_ended", name=self.config.name)
 
     def _begin(self) -> None:
--- a/damsonpick/standins/plain.py
+++ b/damsonpick/standins/plain.py
@@ -99,6 +99,7 @@
     def __init__(self) -> None:
         self.watchers: set[SocketStream] = set()
         self.silent = False  # signs of life stop, and connections stay open
+        self.speaking = anyio.Lock()  # a line is written whole before the next one
 
     async def serve(self, asked: Asked, stream: SocketStream) -> bool:
         raise NotImplementedError
@@ -113,17 +114,16 @@
 
     async def say(self, line: bytes) -> None:
         """A line as it is to all watchers."""
-        for stream in list(self.watchers):
-            try:
-                await stream.send(chunk(line + b"\n"))
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                self.watchers.discard(stream)
+        await self.drip(line + b"\n")
 
     async def drip(self, data: bytes) -> None:
-        """Bytes that are no whole line to all watchers."""
-        for stream in list(self.watchers):
-            with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-                await stream.send(chunk(data))
+        """Bytes as they are to all watchers."""
+        async with self.speaking:
+            for stream in list(self.watchers):
+                try:
+                    await stream.send(chunk(data))
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    self.watchers.discard(stream)
 
     async def cut(self) -> None:
         """Cut all watches."""
