An endpoint whose state is a list or an object is left out alone

Callers saw: a pilot whose kept list held one such entry ended at every start (traceback, exit 1), so its proxies had no control service; from discovery's watch the entry lost the whole update, again and again.

Cause: discovery._read_entry looked `state` up in a dictionary before its type was known; a list or an object cannot be hashed (TypeError), which is none of the package's errors.

Change: type first, look-up second; values in log texts are bounded and name a list or an object by its type; all JSON decoders of the package catch the same errors.

--- a/damsonpick/protocols/platform/config.py
+++ b/damsonpick/protocols/platform/config.py
@@ -13,6 +13,7 @@
 from damsonpick.protocols.platform import discovery
 from damsonpick.protocols.platform.address import Address
 from damsonpick.protocols.platform.errors import ConfigError, EndpointListError
+from damsonpick.protocols.platform.json_values import DECODE_ERRORS
 from damsonpick.protocols.shared import instance_settings
 
 CONFIG_VARIABLE = "EDGE_CONFIG"
@@ -81,7 +82,7 @@
         raise ConfigError("", f"over {MAX_CONFIG_BYTES} bytes: not a configuration")
     try:
         tree = msgspec.json.decode(data)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise ConfigError("", f"not JSON: {error}: write one object") from None
     if not isinstance(tree, dict):
         raise ConfigError("", "not a JSON object: write one object")
--- a/damsonpick/protocols/platform/discovery.py
+++ b/damsonpick/protocols/platform/discovery.py
@@ -11,7 +11,7 @@
 
 from damsonpick import interface as api
 from damsonpick.protocols.platform.errors import EndpointEntryError, EndpointListError
-from damsonpick.protocols.platform.json_values import DECODE_ERRORS
+from damsonpick.protocols.platform.json_values import DECODE_ERRORS, describe_value
 
 STATUSES: dict[str, api.EndpointStatus] = {
     "Ready": "in_service",
@@ -23,7 +23,6 @@
 MAX_VERSION = 1 << 62
 MAX_WEIGHT = 1e9
 MAX_LOGGED_PROBLEMS = 8  # of one update
-MAX_LOGGED_VALUE = 40  # characters
 
 
 class EndpointListUpdate(NamedTuple):
@@ -99,17 +98,17 @@
     if not isinstance(endpoint, str) or not endpoint:
         raise EndpointEntryError("", "id", "missing, or not text")
     status = item.get("state")
-    if status not in STATUSES:
-        reason = f"{str(status)[:MAX_LOGGED_VALUE]!r} is none of {', '.join(STATUSES)}"
+    if not isinstance(status, str) or status not in STATUSES:
+        reason = f"{describe_value(status)} is none of {', '.join(STATUSES)}"
         raise EndpointEntryError(endpoint, "state", reason)
     if not isinstance(item.get("zone"), str):
         raise EndpointEntryError(endpoint, "zone", "missing, or not text")
     weight = item.get("weight", 1.0)
     if not _is_weight(weight):
-        raise EndpointEntryError(endpoint, "weight", f"{str(weight)[:MAX_LOGGED_VALUE]} is no number from 0")
+        raise EndpointEntryError(endpoint, "weight", f"{describe_value(weight)} is no number from 0")
     started_ms = item.get("started_ms", 0)
     if not _is_integer(started_ms, MAX_START_MS):
-        raise EndpointEntryError(endpoint, "started_ms", f"{str(started_ms)[:MAX_LOGGED_VALUE]} is no time in ms")
+        raise EndpointEntryError(endpoint, "started_ms", f"{describe_value(started_ms)} is no time in ms")
     return api.EndpointEntry(endpoint, item["zone"], STATUSES[status], float(weight), started_ms * NS_PER_MS)
 
 
--- a/damsonpick/protocols/platform/json_values.py
+++ b/damsonpick/protocols/platform/json_values.py
@@ -1,4 +1,8 @@
-"""JSON objects decoded by msgspec, with its errors mapped to this package's. No I/O."""
+"""JSON decoded by msgspec, with its errors mapped to this package's. No I/O.
+
+Decoded JSON is untrusted until its type is known: a list or an object cannot be looked up in a dictionary, and its text
+may be as long as the message.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +12,7 @@
 
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError, OverflowError)
 _PATH_MARK = " - at `$."
+MAX_LOGGED_VALUE = 40  # characters
 
 
 def invalid_message(kind: str, error: msgspec.ValidationError) -> InvalidMessageError:
@@ -20,3 +25,12 @@
     reason, _, path = str(error).partition(_PATH_MARK)
     field = ".".join(part for part in (kind, path.rstrip("`")) if part)
     return InvalidMessageError(field, reason)
+
+
+def describe_value(value: object) -> str:
+    """Return a decoded value for the log: bounded text, and for a list or an object its type alone."""
+    if isinstance(value, list):
+        return "a list"
+    if isinstance(value, dict):
+        return "an object"
+    return repr(value[:MAX_LOGGED_VALUE]) if isinstance(value, str) else str(value)[:MAX_LOGGED_VALUE]
--- a/damsonpick/protocols/platform/order_codec.py
+++ b/damsonpick/protocols/platform/order_codec.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from damsonpick import interface as api
+from damsonpick.protocols.platform.json_values import DECODE_ERRORS
 
 SYNC_TOKEN_RANGE = 65_536
 REQUEST_PREFIX, REQUEST_SUFFIX = b'{"ops":[', b"]}"
@@ -132,7 +133,7 @@
     """
     try:
         response = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return None
     if not isinstance(response, dict):
         return None
--- a/damsonpick/protocols/platform/registry_events.py
+++ b/damsonpick/protocols/platform/registry_events.py
@@ -8,10 +8,9 @@
 from msgspec import Meta, Struct
 
 from damsonpick.protocols.platform.errors import InvalidMessageError, MalformedMessageError
-from damsonpick.protocols.platform.json_values import DECODE_ERRORS, invalid_message
+from damsonpick.protocols.platform.json_values import DECODE_ERRORS, describe_value, invalid_message
 from damsonpick.protocols.platform.messages import Name, Number
 
-MAX_LOGGED_TYPE = 40  # characters
 NonNegative = Annotated[float, Meta(ge=0)]
 
 
@@ -85,7 +84,7 @@
         return Heartbeat()
     name = message.get("type")
     if not isinstance(name, str) or name not in _EVENT_TYPES:
-        raise InvalidMessageError("type", f"{str(name)[:MAX_LOGGED_TYPE]!r} is not known")
+        raise InvalidMessageError("type", f"{describe_value(name)} is not known")
     try:
         return msgspec.convert(message.get("object"), _EVENT_TYPES[name])
     except msgspec.ValidationError as error:
