Entries that an order changed beside a change of ownership are ordered again

Callers saw: a slice kept an entry that the pilot took for removed, or had none at all (its requests wait and are refused) though the pilot took it for covered. Nothing in the log.

Cause: responses and watch events come over separate connections.

--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -11,7 +11,7 @@
 from damsonpick import interface as api
 from damsonpick.protocols.platform import registry_events
 from damsonpick.protocols.platform.order_codec import Order
-from damsonpick.protocols.platform.ownership import OwnershipTracker, RecentEntries
+from damsonpick.protocols.platform.ownership import OwnershipTracker, UncertainEntries
 from damsonpick.protocols.platform.pending_orders import PendingOrders, TableChange
 from damsonpick.protocols.platform.stored_state import AdmissionLevels, TableEntries, apply_admission, apply_entry
 from damsonpick.protocols.platform.watch_snapshot import Proxy, WatchSnapshot
@@ -48,8 +48,7 @@
         self.levels: AdmissionLevels = {}
         self.withdrawn: dict[str, None] = {}
         self.ownership = OwnershipTracker()
-        self._recent = RecentEntries()
-        self._unconfirmed: dict[int, dict[str, None]] = {}  # entries to order again at the next heartbeat, by slice
+        self._uncertain = UncertainEntries()
 
     # -- events for the planner
 
@@ -87,7 +86,7 @@
             if slice_number in range(self.slice_count):
                 events += self._reconcile_table(slice_number, entries)
                 if gap:
-                    self.ownership.record_change(slice_number)
+                    self.ownership.record_gap(slice_number)
         return events + self._reconcile_proxies(snapshot.proxies, gap)
 
     def apply(self, event: registry_events.RegistryEvent) -> list[api.Event]:
@@ -109,6 +108,10 @@
         desired = self.pending.overlay_entries(slice_number, entries)
         known = self.tables.get(slice_number)
         self.tables[slice_number] = entries
+        if known is not None:  # the snapshot may be older than orders that were accepted before it was read
+            recent = self._uncertain.recent(slice_number)
+            differing = [name for name in recent if known.get(name, 0.0) != entries.get(name, 0.0)]
+            self._uncertain.add_unconfirmed(slice_number, differing)
         # A pending order that the registry may have applied already makes no difference.
         if known is not None and self.pending.overlay_entries(slice_number, known) == desired:
             return []
@@ -150,8 +153,7 @@
             self.tables[slice_number] = {}
         else:
             self.tables.pop(slice_number, None)
-            unconfirmed = self._unconfirmed.setdefault(slice_number, {})
-            unconfirmed.update(dict.fromkeys(self._recent.endpoints(slice_number)))
+            self._uncertain.add_unconfirmed(slice_number, self._uncertain.recent(slice_number))
         return [api.SliceOwnershipChanged(slice_number, owned)]
 
     def _change_entry(self, event: registry_events.EntryChanged) -> list[api.Event]:
@@ -168,10 +170,8 @@
 
     def _confirm_entries(self) -> None:
         """Handle a heartbeat: all entries of slices assigned before it have been reported."""
-        confirmed = [slice_number for slice_number in self._unconfirmed if slice_number in self.tables]
-        for slice_number in confirmed:
-            self._order_entries(slice_number, self._unconfirmed.pop(slice_number))
-        self._recent.rotate()
+        for slice_number, endpoints in self._uncertain.heartbeat(self.tables).items():
+            self._order_entries(slice_number, endpoints)
 
     def _order_entries(self, slice_number: int, endpoints: Iterable[str]) -> bool:
         """Order entries as they are desired now, whatever is stored; True if any order was not pending already."""
@@ -194,7 +194,7 @@
         """
         for order in orders:
             if isinstance(order, TableChange):
-                if order.table in self.tables and not self.ownership.has_changed_since(order.table, ownership_epoch):
+                if order.table in self.tables and not self._is_uncertain(order, ownership_epoch):
                     self._apply_table_change(order)
             elif isinstance(order, api.SetWithdrawn):
                 self._apply_withdrawal(order)
@@ -205,7 +205,9 @@
         """Order again what a change of ownership during its request made uncertain.
 
         Such an order was applied in the former ownership, between the two or in the present one; whether it changed
-        what is stored now is unknown. Its entries are ordered as they are desired now.
+        what is stored now is unknown. Its entries are ordered as they are desired now: those that are to stay at once,
+        and all of them when a heartbeat has shown that the slice's stored entries have been told. A change that is
+        told later is covered as well, as all entries of the request count as recent.
 
         Args:
             orders: of a request that was accepted, or whose outcome is unknown.
@@ -216,24 +218,48 @@
         """
         repeated = False
         for order in orders:
-            if not isinstance(order, TableChange) or order.table not in self.tables:
-                continue
-            if not self.ownership.has_changed_since(order.table, ownership_epoch):
-                continue
-            endpoints = [order.endpoint] if isinstance(order, api.SetEntry) else list(self.tables[order.table])
-            repeated = self._order_entries(order.table, endpoints) or repeated
+            if isinstance(order, TableChange):
+                repeated = self._repeat_if_uncertain(order, ownership_epoch) or repeated
         return repeated
 
+    def _repeat_if_uncertain(self, order: TableChange, ownership_epoch: int) -> bool:
+        slice_number = order.table
+        stored = self.tables.get(slice_number, {})
+        endpoints = [order.endpoint] if isinstance(order, api.SetEntry) else list(stored)
+        for endpoint in endpoints:
+            self._uncertain.add_recent(slice_number, endpoint)
+        if self.ownership.has_changed_since(slice_number, ownership_epoch):
+            self._uncertain.add_unconfirmed(slice_number, endpoints)
+            kept = [endpoint for endpoint in endpoints if endpoint in stored]
+            return self._order_entries(slice_number, kept) if kept else False
+        if slice_number in self.tables and self.ownership.has_gap_since(slice_number, ownership_epoch):
+            return self._push_again(order)
+        return False
+
+    def _push_again(self, order: TableChange) -> bool:
+        """Keep an order pending that the planner still counts on; True unless it or a newer one is pending already."""
+        if isinstance(order, api.ClearTable):
+            return self._order_entries(order.table, list(self.tables[order.table]))
+        if self.pending.is_entry_pending(order.table, order.endpoint):
+            return False
+        self.pending.push([order])
+        return True
+
     def rejection_events(self, order: Order) -> list[api.Event]:
         """Return the table of a rejected order as it is, so that the planner decides again."""
         if isinstance(order, api.SetEntry) and order.table in self.tables:
             return _table_events(order.table, self.pending.overlay_entries(order.table, self.tables[order.table]))
         return []
 
+    def _is_uncertain(self, order: TableChange, ownership_epoch: int) -> bool:
+        """Whether the ownership of the order's slice has changed since its request, or may have."""
+        return self.ownership.has_changed_since(order.table, ownership_epoch) or self.ownership.has_gap_since(
+            order.table, ownership_epoch
+        )
+
     def _apply_table_change(self, order: TableChange) -> None:
         if isinstance(order, api.SetEntry):
             apply_entry(self.tables[order.table], order)
-            self._recent.add(order.table, order.endpoint)
         else:
             self.tables[order.table].clear()
 
