A process that is held up while it reads the clocks agrees with the others

Seen: beside load a scenario reported requests as "sent again after it had run" that were sent once and run once.

Cause: the process's clock read wall and monotonic time in two steps; a process held up in between stays behind all others, and the records of several processes are put in order of these clocks.

Change: the wall clock is read between two reads of the monotonic one, the closest attempt counts, and all processes of a scenario share one reading. The rule that no request is sent after it ran is checked as before.

Failed before: four cases of test_clock.py (a hold at the first, second, third and seventh read).

--- a/damsonpick/runtime/clock.py
+++ b/damsonpick/runtime/clock.py
@@ -7,8 +7,39 @@
 from __future__ import annotations
 
 import time
+from typing import NamedTuple
 
 STRETCH_ORIGIN_NS = 1_767_225_600_000_000_000  # 2026-01-01 00:00 UTC, where stretched and true time meet
+MAX_ORIGIN_READS = 20
+MAX_ORIGIN_GAP_NS = 5_000  # between the reads round one of the wall clock, if the process is not held up
+
+
+class ClockOrigin(NamedTuple):
+    """One moment on both clocks of the machine, ns."""
+
+    wall_ns: int
+    monotonic_ns: int
+
+
+def read_clock_origin() -> ClockOrigin:
+    """Read both clocks at one moment.
+
+    A process may be held up between two reads, for milliseconds beside load; its clock would then be behind those of
+    all other processes for good. The wall clock is read between two reads of the monotonic one, and of a few attempts
+    the one in which these were closest counts: the error is at most half the time between them.
+    """
+    best_gap_ns: int | None = None
+    origin = ClockOrigin(0, 0)
+    for _ in range(MAX_ORIGIN_READS):
+        before_ns = time.monotonic_ns()
+        wall_ns = time.time_ns()
+        gap_ns = time.monotonic_ns() - before_ns
+        if best_gap_ns is None or gap_ns < best_gap_ns:
+            best_gap_ns = gap_ns
+            origin = ClockOrigin(wall_ns, before_ns + gap_ns // 2)
+        if gap_ns <= MAX_ORIGIN_GAP_NS:
+            break
+    return origin
 
 
 class Clock:
@@ -16,17 +47,17 @@
 
     Args:
         rate: nanoseconds of this clock in one true nanosecond.
+        origin: read by another process of this machine, so that both clocks are the same; None: read now.
     """
 
-    def __init__(self, rate: float = 1.0) -> None:
-        """Read the wall clock, this once."""
+    def __init__(self, rate: float = 1.0, origin: ClockOrigin | None = None) -> None:
+        """Read the wall clock, this once, unless an origin is given."""
         self.rate = rate
-        self._started_wall_ns = time.time_ns() - STRETCH_ORIGIN_NS
-        self._started_monotonic_ns = time.monotonic_ns()
+        self.origin = origin or read_clock_origin()
 
     def now(self) -> int:
         """The present time, ns."""
-        true_ns = self._started_wall_ns + time.monotonic_ns() - self._started_monotonic_ns
+        true_ns = self.origin.wall_ns - STRETCH_ORIGIN_NS + time.monotonic_ns() - self.origin.monotonic_ns
         return STRETCH_ORIGIN_NS + int(true_ns * self.rate)
 
     def seconds(self, ns: int) -> float:
--- a/damsonpick/testing/fakes/fleet.py
+++ b/damsonpick/testing/fakes/fleet.py
@@ -16,7 +16,7 @@
 from anyio.abc import TaskGroup
 
 from damsonpick.runtime import port_files
-from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.clock import Clock, ClockOrigin
 from damsonpick.testing.fakes.balancer import FakeBalancer
 from damsonpick.testing.fakes.gateway import FakeGateway
 from damsonpick.testing.fakes.gateway_context import GatewayContext, Network, TrafficClass
@@ -95,7 +95,7 @@
         """Build gateways and demand from the process's settings."""
         self._part = setup["part"]
         self._rng = random.Random(f"{setup['seed']} {self._part}")
-        self._clock = Clock(setup["clock_rate"])
+        self._clock = Clock(setup["clock_rate"], ClockOrigin(*setup["clock_origin"]))
         self._record = Recorder(Path(setup["record"]), self._clock.now)
         self._network = Network(setup["pilot_zone"])
         self._port_file = Path(setup["port_file"])
--- a/damsonpick/testing/scenarios/environment.py
+++ b/damsonpick/testing/scenarios/environment.py
@@ -115,6 +115,7 @@
         day = self.script.day
         return {
             "clock_rate": day.clock_rate,
+            "clock_origin": self.clock.origin,  # records of all processes are put in order of time
             "seed": self.seed,
             "part": part,
             "proxies": self.proxies,
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,52 @@
+"""The process's clock."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from damsonpick.runtime import clock
+from damsonpick.runtime.clock import Clock, ClockOrigin
+
+MS = 1_000_000
+WALL_NS = 1_800_000_000_000 * MS
+
+
+class HeldUpProcess:
+    """A time module whose first reads are each followed by a hold of 5 ms, as beside load."""
+
+    def __init__(self, held_up_reads: int) -> None:
+        self.elapsed_ns, self.reads, self.held_up_reads = 0, 0, held_up_reads
+
+    def read(self, offset_ns: int) -> int:
+        self.reads += 1
+        value = offset_ns + self.elapsed_ns
+        self.elapsed_ns += 5 * MS if self.reads <= self.held_up_reads else 100
+        return value
+
+    def time_ns(self) -> int:
+        return self.read(WALL_NS)
+
+    def monotonic_ns(self) -> int:
+        return self.read(0)
+
+
+@pytest.mark.parametrize("held_up_reads", [1, 2, 3, 7])
+def test_a_process_that_is_held_up_while_it_reads_the_clocks_agrees_with_others(held_up_reads, monkeypatch):
+    """A clock that was behind put the run of a request before its sending: "sent again after it had run"."""
+    process = HeldUpProcess(held_up_reads)
+    monkeypatch.setattr(clock, "time", process)
+    made = Clock()
+    assert abs(made.now() - (WALL_NS + process.elapsed_ns)) < 1_000
+
+
+def test_processes_that_share_an_origin_have_the_same_clock():
+    first = Clock(3.0)
+    second = Clock(3.0, ClockOrigin(*first.origin))
+    before, between, after = first.now(), second.now(), first.now()
+    assert before <= between <= after
+
+
+def test_a_clock_gives_wall_time():
+    assert abs(Clock().now() - time.time_ns()) < 1_000 * MS
