A malformed request, connection or task ends alone, never the daemon

Callers saw: one malformed question on the control socket ended the daemon (exit 1), so gateways had no control service.

Cause: requests were untyped, errors other than ValueError and KeyError went through, and nothing stood between one client's handler (or one task) and the task group of the program. The same class elsewhere: an accept without a free descriptor, an upstream list that cannot be decoded or whose `started` is a superscript digit, a response in the proxy.

Change: requests are decoded once to typed ones, replies name the field; ConnectionServer and keep_running are the boundaries of connections and tasks, with one log event each. It works because no exception but cancellation passes them.

--- a/damsonpick/controller/components.py
+++ b/damsonpick/controller/components.py
@@ -7,7 +7,8 @@
 from structlog.typing import FilteringBoundLogger
 
 from damsonpick import interface as api
-from damsonpick.controller.control_socket import Reply, Request
+from damsonpick.controller.control_requests import ControlRequest, Query, VersionsRequest
+from damsonpick.controller.control_socket import Reply
 from damsonpick.controller.drive_loop import DriveLoop, StreamServer, Wakeup
 from damsonpick.controller.engine import Engine
 from damsonpick.controller.lease_task import LeaseTask
@@ -15,7 +16,7 @@
 from damsonpick.controller.list_updates import ListUpdater
 from damsonpick.controller.list_watch import ListWatch
 from damsonpick.controller.load_report_task import LoadReportTask
-from damsonpick.controller.queries import Ports, Query, QueryRouter, StatusQuery, TablesQuery, sasp_query, weights_query
+from damsonpick.controller.queries import Ports, QueryRouter, StatusQuery, TablesQuery, sasp_query, weights_query
 from damsonpick.controller.snapshot_task import SnapshotTask
 from damsonpick.controller.solver_task import SolverTask
 from damsonpick.controller.version_queries import VersionQueries
@@ -257,12 +258,12 @@
             self.engine.step(self.clock.now())
             self.solver_task.advise_at_once()
 
-    def _answer_versions(self, request: Request) -> Reply:
+    def _answer_versions(self, request: VersionsRequest) -> Reply:
         reply = self.version_queries.answer(self.clock.now(), request)
         self.wakeup.notify()  # a rollback or pin gives the engine work
         return reply
 
-    def _forget(self, request: Request) -> Reply:
+    def _forget(self, request: ControlRequest) -> Reply:
         """Drop what was learned, on disk and in the planner."""
         del request  # it has no parameters
         self.snapshot_task.forget()
--- a/damsonpick/controller/control_socket.py
+++ b/damsonpick/controller/control_socket.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
+import msgspec
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
+from structlog.typing import FilteringBoundLogger
+
+from damsonpick.runtime.supervision import ConnectionServer
 
 Request = dict[str, Any]  # `ask` names the query, the rest are its parameters
 Reply = dict[str, Any]  # the answer, or `error` alone
@@ -27,20 +31,6 @@
 )
 
 
-class UnknownOrderError(ValueError):
-    """A request gives an order that there is not.
-
-    Attributes:
-        order: as the request gives it.
-    """
-
-    def __init__(self, order: object, known: Iterable[str]) -> None:
-        """Name the orders there are as the remedy."""
-        *names, last = known
-        super().__init__(f"unknown order {order!r}; use {', '.join(names)} or {last}")
-        self.order = order
-
-
 class ControlError(Exception):
     """The pilot cannot be asked; the text says why and what to do."""
 
@@ -75,13 +65,16 @@
         super().__init__("a request is a JSON object")
 
 
-async def serve(path: Path, answer: Callable[[Request], Reply], ready: Callable[[], None]) -> None:
+async def serve(
+    path: Path, answer: Callable[[Request], Reply], ready: Callable[[], None], log: FilteringBoundLogger
+) -> None:
     """Answer requests until cancelled. A socket left by a killed pilot is replaced.
 
     Args:
         path: where to listen.
         answer: gives the reply to one request; ValueError and KeyError become an `error` reply.
         ready: called once the socket listens.
+        log: for a client that ends with a fault of the program; the others and the program go on.
     """
     path.unlink(missing_ok=True)
     listener = await anyio.create_unix_listener(path, mode=OWNER_ONLY)
@@ -99,7 +92,8 @@
 
     ready()
     try:
-        await listener.serve(serve_client)
+        async with listener, anyio.create_task_group() as group:
+            await ConnectionServer("control socket", serve_client, log).serve(listener, group)
     finally:
         path.unlink(missing_ok=True)
 
@@ -112,7 +106,10 @@
 
 
 def _parse_request(text: bytes) -> Request:
-    request = json.loads(text)
+    try:
+        request = msgspec.json.decode(text)
+    except RecursionError:
+        raise RequestError from None
     if not isinstance(request, dict):
         raise RequestError
     return request
--- a/damsonpick/controller/daemon.py
+++ b/damsonpick/controller/daemon.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 import anyio
@@ -14,6 +14,7 @@
 from damsonpick.controller.queries import Ports
 from damsonpick.controller.snapshot_task import NOTHING_LEARNED
 from damsonpick.decisions.planner import Planner
+from damsonpick.runtime.supervision import keep_running
 from damsonpick.settings.model import PilotSettings
 from damsonpick.solver import work
 from damsonpick.solver.advice import Advisor
@@ -99,18 +100,23 @@
         components.list_updater.start(learned.snapshot, learned.away)
 
     def _start_tasks(self, group: TaskGroup) -> None:
+        """Start the tasks of the daemon. A fault in one of them is logged and costs that task a restart."""
         components = self.components
-        group.start_soon(components.list_watch.run)
-        group.start_soon(components.load_report_task.run)
-        group.start_soon(components.lease_task.run)
-        if components.sasp is not None:
-            group.start_soon(components.sasp.run)
-        group.start_soon(components.drive_loop.run)
+        tasks: dict[str, Callable[[], Awaitable[None]]] = {
+            "list watch": components.list_watch.run,
+            "load reports": components.load_report_task.run,
+            "leases": components.lease_task.run,
+            "drive loop": components.drive_loop.run,
+        }
         if self.settings.learned_state.enabled:
-            group.start_soon(components.snapshot_task.run)
+            tasks["snapshots"] = components.snapshot_task.run
         if self.settings.solved:
-            group.start_soon(components.solver_task.run)
+            tasks["solver"] = components.solver_task.run
+        for name, run in tasks.items():
+            group.start_soon(keep_running, name, run, self.log)
+        if components.sasp is not None:
+            group.start_soon(components.sasp.run)
 
     async def _serve_control_socket(self, *, task_status: TaskStatus[None]) -> None:
         answer = self.components.queries.answer
-        await control_socket.serve(self.settings.control_path(), answer, task_status.started)
+        await control_socket.serve(self.settings.control_path(), answer, task_status.started, self.log)
--- a/damsonpick/controller/list_queries.py
+++ b/damsonpick/controller/list_queries.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 from damsonpick import interface as api
-from damsonpick.controller.control_socket import Reply, Request, UnknownOrderError
+from damsonpick.controller.control_requests import AcceptList, ListRequest
+from damsonpick.controller.control_socket import Reply
 from damsonpick.controller.list_updates import ListUpdater
 from damsonpick.controller.list_watch import ListWatch
 from damsonpick.runtime.clock import Clock
 
 NS_PER_SECOND = 1e9
-COMMANDS = ("show", "accept")
 
 
 @dataclass(slots=True, eq=False)
@@ -29,17 +29,10 @@
     updater: ListUpdater
     clock: Clock
 
-    def answer(self, request: Request) -> Reply:
-        """Show the list, or accept that missing endpoints are gone.
-
-        Raises:
-            UnknownOrderError: `do` names neither.
-        """
-        command = request.get("do", "show")
-        if command == "accept":
+    def answer(self, request: ListRequest) -> Reply:
+        """Show the list, or accept that missing endpoints are gone."""
+        if isinstance(request, AcceptList):
             return {"accepted": self.updater.accept()}
-        if command != "show":
-            raise UnknownOrderError(command, COMMANDS)
         return self._show()
 
     def _show(self) -> Reply:
--- a/damsonpick/controller/queries.py
+++ b/damsonpick/controller/queries.py
@@ -4,10 +4,17 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import Any, Protocol
 
-from damsonpick.controller.control_socket import Reply, Request
+from damsonpick.controller.control_requests import (
+    ControlRequest,
+    InvalidRequestError,
+    JsonObject,
+    TablesRequest,
+    decode_request,
+)
+from damsonpick.controller.control_requests import Query as Query
+from damsonpick.controller.control_socket import Reply
 from damsonpick.controller.engine import Engine
 from damsonpick.controller.list_watch import ListWatch
 from damsonpick.controller.snapshot_task import SnapshotTask
@@ -19,35 +26,23 @@
 from damsonpick.solver.advice import Advisor
 from damsonpick.state.published_tables import PublishedTables
 
+QueryAnswerer = Callable[[ControlRequest], Reply]
+MAX_SHOWN_KIND = 60  # characters
 
-class Query(StrEnum):
-    """What can be asked, as the request's `ask` names it."""
 
-    STATUS = "status"
-    TABLES = "tables"
-    WEIGHTS = "weights"
-    VERSIONS = "versions"
-    LIST = "list"
-    SASP = "sasp"
-    FORGET = "forget"
-
-
-QueryAnswerer = Callable[[Request], Reply]
-
-
-class UnknownSliceError(ValueError):
+class UnknownSliceError(InvalidRequestError):
     """A slice that there is not."""
 
     def __init__(self, number: int, slice_count: int) -> None:
         """Name the slice and how many there are."""
-        super().__init__(f"slice {number}: there are {slice_count}, from 0")
+        super().__init__(f"slice {number}", f"there are {slice_count}, from 0")
         self.number = number
         self.slice_count = slice_count
 
 
 @dataclass(slots=True, eq=False)
 class QueryRouter:
-    """Hands each request to what answers its kind.
+    """Decodes each request and hands it to what answers its kind.
 
     Args:
         answerers: one for each query that this pilot supports.
@@ -55,16 +50,19 @@
 
     answerers: dict[Query, QueryAnswerer]
 
-    def answer(self, request: Request) -> Reply:
+    def answer(self, request: JsonObject) -> Reply:
         """The reply to one request; a request that is not understood is answered with `error`.
 
         Raises:
+            InvalidRequestError: a field of the request is wrong; the text names it.
             ValueError, KeyError: the request cannot be carried out; the text says why.
         """
         kind = request.get("ask")
         if not isinstance(kind, str) or kind not in self.answerers:
-            return {"error": f"unknown question {kind!r}; ask status, tables, weights, versions, list, sasp or forget"}
-        return self.answerers[Query(kind)](request)
+            shown = repr(kind)[:MAX_SHOWN_KIND]
+            return {"error": f"unknown question {shown}; ask status, tables, weights, versions, list, sasp or forget"}
+        query = Query(kind)
+        return self.answerers[query](decode_request(query, request))
 
 
 @dataclass(slots=True)
@@ -98,7 +96,7 @@
     list_watch: ListWatch
     snapshot_task: SnapshotTask
 
-    def answer(self, request: Request) -> Reply:
+    def answer(self, request: ControlRequest) -> Reply:
         """The whole status."""
         del request  # it has no parameters
         classes = self.published.classes
@@ -132,14 +130,13 @@
     published: PublishedTables
     catalogue: Catalogue
 
-    def answer(self, request: Request) -> Reply:
+    def answer(self, request: TablesRequest) -> Reply:
         """The tables.
 
         Raises:
             UnknownSliceError: a slice is asked for that there is not.
         """
-        asked = request.get("slices")
-        slices = range(self.published.slices) if asked is None else asked
+        slices = range(self.published.slices) if request.slices is None else request.slices
         rows = [self._row(number) for number in slices]
         return {"tables": rows, "withdrawn": sorted(self.published.withdrawn)}
 
@@ -159,7 +156,7 @@
 def weights_query(advisor: Advisor, solver_enabled: bool) -> QueryAnswerer:
     """Answers `weights`: the solver's last plan."""
 
-    def answer(request: Request) -> Reply:
+    def answer(request: ControlRequest) -> Reply:
         del request  # it has no parameters
         if not solver_enabled:
             return {"error": "the solver has nothing to do here; see [solver] in docs/operators/weights.md"}
@@ -178,7 +175,7 @@
 def sasp_query(server: BalancerView | None) -> QueryAnswerer:
     """Answers `sasp`: who is registered; `server` None: this pilot does not speak SASP."""
 
-    def answer(request: Request) -> Reply:
+    def answer(request: ControlRequest) -> Reply:
         del request  # it has no parameters
         if server is None:
             return {"error": "there is no SASP front; give [sasp] listen an address"}
--- a/damsonpick/controller/version_queries.py
+++ b/damsonpick/controller/version_queries.py
@@ -2,9 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-
-from damsonpick.controller.control_socket import Reply, Request, UnknownOrderError
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from damsonpick.controller.control_requests import (
+    DiffVersions,
+    InvalidRequestError,
+    ListVersions,
+    Pin,
+    ReleasePin,
+    Rollback,
+    ShowVersion,
+    VersionsRequest,
+    WhoHolds,
+)
+from damsonpick.controller.control_socket import Reply
 from damsonpick.controller.engine import Engine
 from damsonpick.controller.table_pin import RollbackRequest
 from damsonpick.protocols.shared.session_manager import SessionManager
@@ -12,10 +24,9 @@
 from damsonpick.state.history.recorder import HistoryRecorder
 
 MAX_VERSIONS = 1000  # in one reply
-DEFAULT_VERSIONS = 20
 
 
-class UnknownZoneError(ValueError):
+class UnknownZoneError(InvalidRequestError):
     """A request names a zone that there is not.
 
     Attributes:
@@ -24,7 +35,7 @@
 
     def __init__(self, zone: str, known: Iterable[str]) -> None:
         """Name the zones there are as the remedy."""
-        super().__init__(f"zone {zone}: there are {', '.join(known)}")
+        super().__init__(f"zone {zone}", f"there are {', '.join(known)}")
         self.zone = zone
 
 
@@ -46,28 +57,23 @@
         self.recorder = recorder
         self.session_manager = session_manager
         self.settings = settings
-        self.handlers: dict[str, Callable[[int, Request], Reply]] = {
-            "list": self._list,
-            "show": self._show,
-            "diff": self._diff,
-            "who": self._who,
-            "rollback": self._rollback,
-            "pin": self._pin,
-            "release": self._release,
+        self.handlers: dict[type[VersionsRequest], Callable[[int, Any], Reply]] = {
+            ListVersions: self._list,
+            ShowVersion: self._show,
+            DiffVersions: self._diff,
+            WhoHolds: self._who,
+            Rollback: self._rollback,
+            Pin: self._pin,
+            ReleasePin: self._release,
         }
 
-    def answer(self, now: int, request: Request) -> Reply:
+    def answer(self, now: int, request: VersionsRequest) -> Reply:
         """Answer one request.
 
         Raises:
-            ValueError, KeyError: the request cannot be carried out; the text says why. An order that there is not is an
-                `UnknownOrderError`.
+            ValueError, KeyError: the request cannot be carried out; the text says why.
         """
-        name = request.get("do", "list")
-        handler = self.handlers.get(name)
-        if handler is None:
-            raise UnknownOrderError(name, self.handlers)
-        return handler(now, request)
+        return self.handlers[type(request)](now, request)
 
     def _state(self, now: int) -> Reply:
         """The newest version and the pin."""
@@ -84,21 +90,20 @@
 
     # -- questions
 
-    def _list(self, now: int, request: Request) -> Reply:
-        most = int(request.get("most", DEFAULT_VERSIONS))
-        most = min(MAX_VERSIONS, max(1, most))
+    def _list(self, now: int, request: ListVersions) -> Reply:
+        most = min(MAX_VERSIONS, max(1, request.most))
         kept = list(self.recorder.history.versions.values())
         newest_first = reversed(kept[-most:])
         return self._state(now) | {"kept": len(kept), "versions": [version.summary() for version in newest_first]}
 
-    def _show(self, _now: int, request: Request) -> Reply:
+    def _show(self, _now: int, request: ShowVersion) -> Reply:
         history = self.recorder.history
-        version = history.find(str(request["version"]))
+        version = history.find(str(request.version))
         return version.summary() | {"difference": version.difference, "state": history.state_at(version.number)}
 
-    def _diff(self, _now: int, request: Request) -> Reply:
+    def _diff(self, _now: int, request: DiffVersions) -> Reply:
         history = self.recorder.history
-        one, other = history.find(str(request["one"])), history.find(str(request["other"]))
+        one, other = history.find(str(request.one)), history.find(str(request.other))
         return {
             "one": one.number,
             "other": other.number,
@@ -106,9 +111,9 @@
             "difference": history.difference(one.number, other.number),
         }
 
-    def _who(self, now: int, request: Request) -> Reply:
+    def _who(self, now: int, request: WhoHolds) -> Reply:
         history = self.recorder.history
-        asked = history.find(str(request["version"])) if request.get("version") else history.newest()
+        asked = history.find(str(request.version)) if request.version else history.newest()
         rows = self.session_manager.held_versions(now, history.roots)
         return {
             "version": asked.number,
@@ -119,41 +124,38 @@
 
     # -- orders
 
-    def _rollback(self, now: int, request: Request) -> Reply:
+    def _rollback(self, now: int, request: Rollback) -> Reply:
         rollback = RollbackRequest(
-            version=str(request["version"]),
-            pinned_until=self._pin_end(now, request),
-            expected_generation=request.get("expected"),
-            dry_run=bool(request.get("dry")),
-            delay_by_zone=self._delay_by_zone(request),
-            restore_admission=bool(request.get("levels")),
+            version=str(request.version),
+            pinned_until=self._pin_end(now, request.pin_ns),
+            expected_generation=request.expected,
+            dry_run=request.dry,
+            delay_by_zone=self._delay_by_zone(request.stages or (), request.hold_ns or 0),
+            restore_admission=request.levels,
         )
         return self.engine.roll_back(now, rollback)
 
-    def _pin(self, now: int, request: Request) -> Reply:
+    def _pin(self, now: int, request: Pin) -> Reply:
         """Pin the tables as they are."""
-        self.recorder.pin.check_generation(request.get("expected"))
-        self.recorder.set_pin(self.recorder.history.newest().number, self._pin_end(now, request))
+        self.recorder.pin.check_generation(request.expected)
+        self.recorder.set_pin(self.recorder.history.newest().number, self._pin_end(now, request.pin_ns))
         return self._state(now)
 
-    def _release(self, now: int, request: Request) -> Reply:
-        self.recorder.pin.check_generation(request.get("expected"))
+    def _release(self, now: int, request: ReleasePin) -> Reply:
+        self.recorder.pin.check_generation(request.expected)
         self.recorder.release_pin()
         return self._state(now)
 
-    def _pin_end(self, now: int, request: Request) -> int:
-        """When a pin that is asked for ends, ns."""
-        duration = request.get("pin_ns")
-        return now + (self.settings.versions.pin_time if duration is None else int(duration))
+    def _pin_end(self, now: int, duration_ns: int | None) -> int:
+        """When a pin that is asked for ends, ns; without a duration it is that of the settings."""
+        return now + (self.settings.versions.pin_time if duration_ns is None else duration_ns)
 
-    def _delay_by_zone(self, request: Request) -> dict[str, int]:
+    def _delay_by_zone(self, first_zones: Sequence[str], hold_ns: int) -> dict[str, int]:
         """ns that clients of a zone wait: the zones named in their order, then all others.
 
         Raises:
             UnknownZoneError: there is no such zone.
         """
-        first_zones = request.get("stages") or []
-        hold = int(request.get("hold_ns") or 0)
         known = self.settings.pilot.zones
         for zone in first_zones:
             if zone not in known:
@@ -161,4 +163,4 @@
         if not first_zones:
             return {}
         zones = [*first_zones, *(zone for zone in known if zone not in first_zones)]
-        return {zone: position * hold for position, zone in enumerate(zones)}
+        return {zone: position * hold_ns for position, zone in enumerate(zones)}
--- a/damsonpick/protocols/sasp/access.py
+++ b/damsonpick/protocols/sasp/access.py
@@ -27,7 +27,7 @@
         if section is not None:
             return section.covers
         kind, _, number = name.partition("/")
-        if kind == "slice" and number.isdigit() and int(number) < self.settings.table_count():
+        if kind == "slice" and number.isdecimal() and int(number) < self.settings.table_count():
             return f"slices {int(number)}"
         return "fleet" if self.settings.sasp.default_coverage == "fleet" else None
 
--- a/damsonpick/protocols/sasp/server.py
+++ b/damsonpick/protocols/sasp/server.py
@@ -11,7 +11,8 @@
 
 import anyio
 import structlog
-from anyio.abc import Listener, SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketStream
+from anyio.streams.stapled import MultiListener
 
 from damsonpick import interface as api
 from damsonpick.protocols.sasp import codec
@@ -29,6 +30,7 @@
 from damsonpick.protocols.shared.session import Session
 from damsonpick.protocols.shared.session_manager import SessionManager
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.supervision import ConnectionServer, keep_running
 from damsonpick.settings.model import PilotSettings
 
 PEER_LEFT = "the peer left"
@@ -104,7 +106,7 @@
             fallback_capacities=self.fleet.fallback_capacities,
         )
         self.port = 0
-        self._listener: Listener[SocketStream] | None = None
+        self._listener: MultiListener[SocketStream] | None = None
         self._connections: dict[SaspSession, Connection] = {}
         self._sessions_by_address: Counter[str] = Counter()
         self._request_slots = anyio.Semaphore(MAX_CONCURRENT_REQUESTS)
@@ -136,8 +138,10 @@
         """Serve until cancelled; `open` comes first."""
         assert self._listener is not None, "open first"
         async with self._listener, anyio.create_task_group() as group:
-            group.start_soon(self._refresh_periodically)
-            await self._listener.serve(self._serve)
+            group.start_soon(keep_running, "sasp refresh", self._refresh_periodically, self.log)
+            server = ConnectionServer("sasp", self._serve, self.log)
+            for listener in self._listener.listeners:
+                group.start_soon(server.serve, listener, group)
 
     async def _refresh_periodically(self) -> None:
         """Expire registrations, and offer advice that moves without a table: load, reports, the endpoint list."""
--- a/damsonpick/protocols/xds/endpoint_list_client.py
+++ b/damsonpick/protocols/xds/endpoint_list_client.py
@@ -16,6 +16,7 @@
 from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 from google.protobuf import any_pb2
+from google.protobuf.message import DecodeError
 
 from damsonpick import interface as api
 from damsonpick.protocols.shared import grpc_stream
@@ -30,6 +31,7 @@
     health_check_pb2.DRAINING: "terminating",
 }
 HEALTH_BY_STATE = {"in_service": health_check_pb2.HEALTHY, "terminating": health_check_pb2.DRAINING}
+MAX_LOGGED_VALUE = 60  # characters
 KEEPALIVE = [("grpc.keepalive_time_ms", 5000), ("grpc.keepalive_timeout_ms", 3000)]
 
 
@@ -61,6 +63,14 @@
         self.type_url = type_url
 
 
+class UpstreamFormatError(ListError):
+    """A resource names the right type and cannot be decoded."""
+
+    def __init__(self) -> None:
+        """The text is the same for every resource."""
+        super().__init__("upstream list: a resource is no ClusterLoadAssignment, though it says so")
+
+
 def read_entries(assignment: endpoint_pb2.ClusterLoadAssignment) -> list[api.EndpointEntry]:
     """Entries of an assignment.
 
@@ -91,9 +101,11 @@
     if METADATA_KEY not in metadata or STARTED_FIELD not in metadata[METADATA_KEY].fields:
         return 0
     text = metadata[METADATA_KEY].fields[STARTED_FIELD].string_value
-    if not text.lstrip("-").isdigit():
-        raise UpstreamEntryError(name, f"started = {text!r}: write nanoseconds as text")
-    return int(text)
+    try:
+        return int(text)
+    except ValueError:  # also for text of more digits than int takes
+        shown = repr(text[:MAX_LOGGED_VALUE])
+        raise UpstreamEntryError(name, f"started = {shown}: write nanoseconds as text") from None
 
 
 def write_entries(cluster: str, entries: list[api.EndpointEntry]) -> endpoint_pb2.ClusterLoadAssignment:
@@ -202,6 +214,10 @@
 
 def _unpack(body: any_pb2.Any) -> endpoint_pb2.ClusterLoadAssignment:
     assignment = endpoint_pb2.ClusterLoadAssignment()
-    if not body.Unpack(assignment):
+    try:
+        is_assignment = body.Unpack(assignment)
+    except DecodeError:
+        raise UpstreamFormatError from None
+    if not is_assignment:
         raise UpstreamTypeError(body.type_url)
     return assignment
--- a/damsonpick/protocols/xds/names.py
+++ b/damsonpick/protocols/xds/names.py
@@ -19,6 +19,6 @@
 def slice_of(cluster: str) -> int:
     """The slice of a cluster such as 'slice/17'; -1 if the cluster is no slice's."""
     prefix, _, number = cluster.partition("/")
-    if prefix != SLICE_PREFIX or not number.isdigit() or len(number) > MAX_SLICE_DIGITS:
+    if prefix != SLICE_PREFIX or not number.isdecimal() or len(number) > MAX_SLICE_DIGITS:
         return -1
     return int(number)
--- a/damsonpick/proxy/program.py
+++ b/damsonpick/proxy/program.py
@@ -24,6 +24,7 @@
 from damsonpick.runtime import port_files
 from damsonpick.runtime.backoff import Backoff
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.supervision import keep_running
 
 LISTEN_BACKLOG = 1024
 SAVE_DELAY_S = 1.0  # after a change; what changes meanwhile is saved with it
@@ -115,9 +116,9 @@
                 port=self.port,
                 tables=len(self.router.received_state.tables),
             )
-            group.start_soon(self.watch_client.run)
-            group.start_soon(self.requests.connector.close_expired)
-            group.start_soon(self._save_changes)
+            group.start_soon(keep_running, "watch", self.watch_client.run, self.log)
+            group.start_soon(keep_running, "idle connections", self.requests.connector.close_expired, self.log)
+            group.start_soon(keep_running, "table cache", self._save_changes, self.log)
             try:
                 yield group
             finally:
--- a/damsonpick/proxy/watch_client.py
+++ b/damsonpick/proxy/watch_client.py
@@ -113,6 +113,9 @@
             await grpc_stream.guarded(self._stream(address))
         except* grpc_stream.StreamEndedError as group:
             reason = str(group.exceptions[0])
+        except* Exception as group:  # what one response raises ends its stream, never the proxy
+            reason = repr(group.exceptions[0])
+            self._log.error("watch_failed", pilot=address, error=reason, exc_info=group.exceptions[0])
         if self.connected:
             self.connected = False
             self._log.warning("pilot_disconnected", pilot=address, reason=reason, tables="the last good ones stay")
--- a/damsonpick/settings/units.py
+++ b/damsonpick/settings/units.py
@@ -50,7 +50,7 @@
         is_loopback = ipaddress.ip_address(host.strip("[]")).is_loopback
     except ValueError:
         raise NotAnAddressError from None
-    if not port.isdigit() or int(port) > HIGHEST_PORT:
+    if not port.isdecimal() or int(port) > HIGHEST_PORT:
         raise PortError
     if not is_loopback:
         raise NotLoopbackError
@@ -90,7 +90,7 @@
         raise NotACoverageError
     for part in rest.split(","):
         low, _, high = part.strip().partition("-")
-        is_range = low.isdigit() and (not high or (high.isdigit() and int(high) >= int(low)))
+        is_range = low.isdecimal() and (not high or (high.isdecimal() and int(high) >= int(low)))
         if not is_range:
             raise SliceRangeError(part.strip())
     return coverage
--- a/damsonpick/state/history/history.py
+++ b/damsonpick/state/history/history.py
@@ -126,7 +126,7 @@
         Raises:
             UnknownVersionError: none is kept.
         """
-        if name.isdigit() and int(name) in self.versions:
+        if name.isdecimal() and int(name) in self.versions:
             return self.versions[int(name)]
         if len(name) >= MIN_ROOT_DIGITS:
             for version in reversed(self.versions.values()):
--- a/tests/test_list_sources.py
+++ b/tests/test_list_sources.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import pytest
+from envoy.service.discovery.v3 import discovery_pb2
 
 from damsonpick.protocols import list_file
 from damsonpick.protocols.xds import endpoint_list_client
+from damsonpick.protocols.xds.names import EDS, slice_of
 from damsonpick.state.endpoint_list.sources import ListError
 from tests.helpers import entry
 
@@ -34,3 +36,24 @@
 def test_list_file_errors_name_place_and_remedy(text, part):
     with pytest.raises(ListError, match=part):
         list_file.parse(text, "servers.ini")
+
+
+@pytest.mark.parametrize("started", ["²", "-", "1.5", "9" * 5000])
+def test_a_start_that_is_no_number_is_an_error_of_the_list(started):
+    """It ended the daemon: superscript digits count as digits, and no number has so many."""
+    assignment = endpoint_list_client.write_entries("servers", [entry("127.0.0.1:9001")])
+    metadata = assignment.endpoints[0].lb_endpoints[0].metadata
+    metadata.filter_metadata["damsonpick"].update({"started": started})
+    with pytest.raises(ListError, match="write nanoseconds as text"):
+        endpoint_list_client.read_entries(assignment)
+
+
+def test_a_resource_that_cannot_be_decoded_is_an_error_of_the_list():
+    response = discovery_pb2.DiscoveryResponse()
+    response.resources.add(type_url=EDS, value=b"\xff\xff\xff")
+    with pytest.raises(ListError, match="though it says so"):
+        endpoint_list_client._unpack_all(response)
+
+
+def test_a_superscript_digit_is_no_slice():
+    assert slice_of("slice/7") == 7 and slice_of("slice/²") < 0
--- /dev/null
+++ b/tests/test_supervision.py
@@ -0,0 +1,117 @@
+"""One client, one connection or one task that raises ends alone."""
+
+from __future__ import annotations
+
+import os
+import resource
+import socket
+
+import anyio
+import pytest
+import structlog
+from structlog.testing import LogCapture
+
+from damsonpick.runtime import supervision
+from damsonpick.runtime.supervision import ConnectionServer, keep_running
+
+
+@pytest.fixture
+def captured():
+    return LogCapture()
+
+
+@pytest.fixture
+def log(captured):
+    return structlog.wrap_logger(None, processors=[captured])
+
+
+def test_a_task_that_raises_is_logged_and_started_again(captured, log, monkeypatch):
+    monkeypatch.setattr(supervision, "MIN_RESTART_DELAY_S", 0.001)
+    starts = []
+
+    async def run() -> None:
+        starts.append(None)
+        if len(starts) < 4:
+            raise LookupError("no such thing")
+
+    anyio.run(keep_running, "sample", run, log)
+    assert len(starts) == 4
+    events = [(entry["event"], entry["task"], entry["error"]) for entry in captured.entries]
+    assert events == [("task_failed", "sample", "LookupError('no such thing')")] * 3
+
+
+def test_a_task_that_is_cancelled_ends(log):
+    async def scene() -> None:
+        with anyio.move_on_after(0.05) as scope:
+            await keep_running("sample", anyio.sleep_forever, log)
+        assert scope.cancelled_caught
+
+    anyio.run(scene)
+
+
+async def echo(stream) -> None:
+    text = await stream.receive()
+    if text == b"raise":
+        raise LookupError("no such thing")
+    await stream.send(text)
+
+
+async def exchange(port: int, text: bytes) -> bytes:
+    with anyio.fail_after(5):
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(text)
+            try:
+                return await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return b""
+
+
+def serving(scene, log) -> None:
+    """Run a scene beside a server that echoes."""
+
+    async def run() -> None:
+        async with (
+            await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+            anyio.create_task_group() as group,
+        ):
+            server = ConnectionServer("sample", echo, log)
+            group.start_soon(server.serve, listener.listeners[0], group)
+            await scene(listener.extra(anyio.abc.SocketAttribute.local_port))
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_a_fault_in_one_connection_ends_it_alone(captured, log):
+    async def scene(port: int) -> None:
+        assert await exchange(port, b"raise") == b""
+        assert await exchange(port, b"hello") == b"hello"
+
+    serving(scene, log)
+    assert [(entry["event"], entry["server"]) for entry in captured.entries] == [("connection_failed", "sample")]
+
+
+def test_running_out_of_descriptors_does_not_end_the_server(captured, log):
+    """An accept that failed for want of a descriptor ended the program."""
+
+    async def scene(port: int) -> None:
+        client = socket.create_connection(("127.0.0.1", port))  # its descriptor is open before the last ones go
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        highest = max(int(name) for name in os.listdir("/proc/self/fd"))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (highest, hard))
+        taken = []
+        try:
+            with pytest.raises(OSError):
+                while True:
+                    taken.append(os.dup(0))
+            await anyio.sleep(0.2)  # the accept fails meanwhile, more than once
+        finally:
+            for number in taken:
+                os.close(number)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        with client:
+            client.sendall(b"hello")
+            assert await anyio.to_thread.run_sync(client.recv, 16) == b"hello"
+
+    serving(scene, log)
+    assert [entry["event"] for entry in captured.entries] == ["accept_failed"]
