A daemon that hangs is not taken for one that does not run

Cause: ask() caught OSError before TimeoutError, which is one; PermissionError read as "no pilot" too; forget took any failure to ask for proof that nobody runs.

Change: a timeout is NoReplyError, a refusal by rights NotPermittedError; forget touches files only when nobody listens and under the lock of the state folder. Elsewhere: no other command touches files or the store on "no pilot".

--- a/damsonpick/cli/learned.py
+++ b/damsonpick/cli/learned.py
@@ -12,6 +12,7 @@
 
 from damsonpick.cli.shared import (
     EXIT_NO,
+    EXIT_NO_PILOT,
     EXIT_WRONG_INPUT,
     as_json,
     fail,
@@ -22,6 +23,7 @@
 )
 
 if TYPE_CHECKING:
+    from damsonpick.settings import PilotSettings
     from damsonpick.state.learned.generations import LoadedSnapshot
     from damsonpick.state.learned.snapshot import LearnedEndpoint, Snapshot
 
@@ -154,13 +156,37 @@
 def forget(file: Path) -> None:
     """Forget what was learned. Tables, list and withdrawals stay; a running pilot starts to learn anew."""
     from damsonpick.controller import control_socket
-    from damsonpick.state.learned import generations
 
     settings = load_settings(file)
     try:
-        anyio.run(control_socket.ask, settings.control_path(), {"ask": "forget"})
-        click.echo("forgotten; the running pilot learns anew")
-    except control_socket.ControlError:
-        folder = settings.learned_path()
-        count = generations.remove(folder)
-        click.echo(f"forgotten: {count} files of {folder}")
+        reply = anyio.run(control_socket.ask, settings.control_path(), {"ask": "forget"})
+    except control_socket.NoPilotError:
+        _forget_without_pilot(settings)
+        return
+    except control_socket.NoReplyError as error:
+        fail(f"{error}; no file was touched, and it forgets if it still reads the request", EXIT_NO_PILOT)
+    except control_socket.ControlError as error:
+        fail(f"{error}; nothing was forgotten", EXIT_NO_PILOT)
+    if "error" in reply:
+        fail(reply["error"], EXIT_WRONG_INPUT)
+    click.echo("forgotten; the running pilot learns anew")
+
+
+def _forget_without_pilot(settings: PilotSettings) -> None:
+    """Remove the files of a pilot that does not run: the lock of its folder says so, not its silence."""
+    from damsonpick.state.learned import generations
+    from damsonpick.state.learned.disk import FolderLock
+    from damsonpick.state.learned.errors import LockError
+
+    folder = settings.learned_path()
+    count = 0
+    if folder.exists():
+        try:
+            lock = FolderLock(settings.pilot.state)
+        except LockError as error:
+            fail(f"{error}; nothing was forgotten", EXIT_NO_PILOT)
+        try:
+            count = generations.remove(folder)
+        finally:
+            lock.release()
+    click.echo(f"forgotten: {count} files of {folder}")
--- a/damsonpick/controller/control_socket.py
+++ b/damsonpick/controller/control_socket.py
@@ -48,6 +48,14 @@
         super().__init__(path, f"no pilot answers ({cause}); start it with `damsonpick run`")
 
 
+class NotPermittedError(ControlError):
+    """The socket may not be used by this user: a pilot may well be running."""
+
+    def __init__(self, path: Path) -> None:
+        """Name the socket and the remedy."""
+        super().__init__(path, "the control socket is another user's; ask as the user that runs the pilot")
+
+
 class NoReplyError(ControlError):
     """The pilot took the request and did not reply."""
 
@@ -120,15 +128,19 @@
 
     Raises:
         NoPilotError: nobody listens.
-        NoReplyError: no reply within `timeout_s` seconds.
+        NotPermittedError: this user may not ask.
+        NoReplyError: no reply within `timeout_s` seconds, or the connection ended before it.
     """
     try:
         with anyio.fail_after(timeout_s):
             async with await anyio.connect_unix(path) as stream:
                 await stream.send(json.dumps(request).encode() + b"\n")
                 text = await BufferedByteReceiveStream(stream).receive_until(b"\n", MAX_REPLY_BYTES)
-    except OSError as error:
-        raise NoPilotError(path, error) from None
     except (TimeoutError, anyio.EndOfStream, anyio.IncompleteRead, anyio.BrokenResourceError):
+        # Before OSError, which TimeoutError is one of: a pilot that hangs is there.
         raise NoReplyError(path, timeout_s) from None
+    except PermissionError:
+        raise NotPermittedError(path) from None
+    except OSError as error:
+        raise NoPilotError(path, error) from None
     return json.loads(text)
