Settings that cannot be served are rejected with path, value and what is allowed

Seen: `aimNs` 0 was accepted on the platform and raised ZeroDivisionError in every review of the planner; negative rates, shares of 1e300, 10**18 slices and unknown words were accepted as well.

Cause: instance_settings checked the kind of a setting alone, neither its range nor its words.

--- a/damsonpick/protocols/platform/pilot.py
+++ b/damsonpick/protocols/platform/pilot.py
@@ -210,3 +210,9 @@
             max_descriptors=config.max_descriptors,
             settings=config.settings._asdict(),
         )
+        if config.settings.admission == "rps":
+            self._log.warning(
+                "load_shedding_off",
+                reason="domain.admission is rps, levels by requests a second, which are not served yet",
+                remedy="expect no refusals under overload; domain.admission ratio sheds load",
+            )
--- a/damsonpick/protocols/shared/instance_settings.py
+++ b/damsonpick/protocols/shared/instance_settings.py
@@ -8,16 +8,24 @@
 
 import math
 from collections.abc import Iterator, Mapping
-from typing import Any
+from typing import Any, TypeVar, get_args
 
 from damsonpick import interface as api
 
 INTEGER_LIMIT = 1 << 62  # a number beyond it is no time and no count
+NUMBER_LIMIT = 1e15  # likewise for rates, shares and weights; their products stay finite
+MIN_POSITIVE = 1e-9  # of numbers that are divided by
+MAX_TABLES = 65_535  # the wire's number above them stands for all tables
+MAX_PROXIES = 65_536  # numbers on the wire lie below
+MAX_CLASSES = 63  # the wire names classes by bits of a number below 2^63
+DISCOVERY_MODES = ("automatic", "subscribe")
 MAX_LOGGED_VALUE = 60  # characters
 
+Word = TypeVar("Word", bound=str)
+
 
 class SettingError(ValueError):
-    """A setting is absent or of the wrong kind.
+    """A setting is absent, of the wrong kind or out of range.
 
     Attributes:
         path: of the setting.
@@ -36,7 +44,8 @@
     @classmethod
     def invalid(cls, path: str, expected: str, value: object) -> SettingError:
         """Return the error for a setting of the wrong kind."""
-        return cls(path, f"{path}: {expected}: {str(value)[:MAX_LOGGED_VALUE]}")
+        shown = "a list or an object" if isinstance(value, list | dict) else str(value)[:MAX_LOGGED_VALUE]
+        return cls(path, f"{path}: {expected}: {shown}")
 
 
 def flatten(value: Any, path: str = "") -> Iterator[tuple[str, Any]]:
@@ -59,11 +68,19 @@
         """Take the values by path."""
         self._values = values
 
-    def integer(self, path: str, default: int | None = None) -> int:
+    def integer(
+        self, path: str, default: int | None = None, *, minimum: int = 0, maximum: int = INTEGER_LIMIT - 1
+    ) -> int:
         """Return a whole number.
 
+        Args:
+            path: of the setting.
+            default: if it is absent; None: it must be there.
+            minimum: the least allowed value.
+            maximum: the greatest allowed value.
+
         Raises:
-            SettingError: it is absent without a default, or no whole number.
+            SettingError: it is absent without a default, no whole number or out of range.
         """
         value = self._value(path, default)
         try:
@@ -73,13 +90,23 @@
         has_fraction = isinstance(value, float) and number != value
         if isinstance(value, bool) or has_fraction or abs(number) >= INTEGER_LIMIT:
             raise SettingError.invalid(path, "not a whole number", value)
+        if not minimum <= number <= maximum:
+            raise SettingError.invalid(path, f"not between {minimum} and {maximum}", value)
         return number
 
-    def number(self, path: str, default: float | None = None) -> float:
+    def number(
+        self, path: str, default: float | None = None, *, minimum: float = 0.0, maximum: float = NUMBER_LIMIT
+    ) -> float:
         """Return a finite number.
 
+        Args:
+            path: of the setting.
+            default: if it is absent; None: it must be there.
+            minimum: the least allowed value.
+            maximum: the greatest allowed value.
+
         Raises:
-            SettingError: it is absent without a default, or no finite number.
+            SettingError: it is absent without a default, no finite number or out of range.
         """
         value = self._value(path, default)
         try:
@@ -88,6 +115,8 @@
             raise SettingError.invalid(path, "not a finite number", value) from None
         if isinstance(value, bool) or not math.isfinite(number):
             raise SettingError.invalid(path, "not a finite number", value)
+        if not minimum <= number <= maximum:
+            raise SettingError.invalid(path, f"not between {minimum:g} and {maximum:g}", value)
         return number
 
     def text(self, path: str, default: str | None = None) -> str:
@@ -101,6 +130,18 @@
             raise SettingError.invalid(path, "not text", value)
         return value
 
+    def choice(self, path: str, allowed: tuple[Word, ...], default: Word | None = None) -> Word:
+        """Return one of several words.
+
+        Raises:
+            SettingError: it is absent without a default, or none of them.
+        """
+        text = self.text(path, default)
+        for word in allowed:
+            if text == word:
+                return word
+        raise SettingError.invalid(path, f"none of {', '.join(allowed)}", text)
+
     def names(self, path: str) -> tuple[str, ...]:
         """Return a list of names, given as JSON or as text with commas; empty if it is absent.
 
@@ -142,34 +183,35 @@
         values: by path, as `flatten` yields them.
 
     Raises:
-        SettingError: one is absent or of the wrong kind.
+        SettingError: one is absent, of the wrong kind or out of range; the text names path, value and what is allowed.
     """
     get = SettingsReader(values)
+    class_count = get.integer("grades.count", minimum=1, maximum=MAX_CLASSES)
     return api.Settings(
         instance=get.integer("me"),
-        instances=get.integer("peersTotal"),
+        instances=get.integer("peersTotal", minimum=1),
         zone=get.text("zone", ""),
-        classes=tuple(_read_class(get, f"grades.{index}.") for index in range(get.integer("grades.count"))),
-        slices=get.integer("domain.shards"),
-        proxies=get.integer("domain.agents"),
+        classes=tuple(_read_class(get, f"grades.{index}.") for index in range(class_count)),
+        slices=get.integer("domain.shards", maximum=MAX_TABLES),  # 0: no slices
+        proxies=get.integer("domain.agents", maximum=MAX_PROXIES),
         sole_owner=get.flag("domain.soleOwner"),
-        admission=get.text("domain.admission", "none"),
-        list_on_request=get.text("discovery", "automatic") == "subscribe",
+        admission=get.choice("domain.admission", get_args(api.AdmissionMode), "none"),
+        list_on_request=get.choice("discovery", DISCOVERY_MODES, "automatic") == "subscribe",
         poll_interval=get.integer("rules.askEveryNs", 0),
-        channel_rate=get.number("domain.egressPerS"),
-        channel_limit=get.number("domain.mostWaiting"),
+        channel_rate=get.number("domain.egressPerS", minimum=MIN_POSITIVE),
+        channel_limit=get.number("domain.mostWaiting", minimum=MIN_POSITIVE),
         message_overhead=get.number("domain.overhead"),
-        messages_per_window=get.integer("domain.pushesAllowed", 0),
+        messages_per_window=get.integer("domain.pushesAllowed", 0),  # 0: no limit
         message_window=get.integer("domain.updateWindowNs", 0),
         max_transit=get.integer("domain.transitMaxNs", 0),
-        report_period=get.integer("domain.reportEveryNs"),
+        report_period=get.integer("domain.reportEveryNs", minimum=1),
         drain_grace=get.integer("rules.stopSendingWithinNs"),
-        cold_capacity_share=get.number("rules.coldShare"),
+        cold_capacity_share=get.number("rules.coldShare", minimum=MIN_POSITIVE, maximum=1.0),
         warm_up_time=get.integer("rules.coldNs"),
         write_linger=get.integer("domain.lingersNs", 0),
         write_lease=get.integer("domain.leaseNs", 0),
         load_fields=get.names("report.fields"),
-        balancing_policy=get.text("domain.pick", "lottery"),
+        balancing_policy=get.choice("domain.pick", get_args(api.BalancingPolicy), "lottery"),
     )
 
 
@@ -185,10 +227,10 @@
 def _read_class(get: SettingsReader, prefix: str) -> api.RequestClass:
     return api.RequestClass(
         name=get.text(prefix + "name"),
-        latency_objective=get.integer(prefix + "aimNs"),
-        deadline=get.integer(prefix + "deadlineNs"),
-        effect=get.text(prefix + "effect"),
-        key_scope=get.text(prefix + "keyScope", "all"),
+        latency_objective=get.integer(prefix + "aimNs", minimum=1),
+        deadline=get.integer(prefix + "deadlineNs", minimum=1),
+        effect=get.choice(prefix + "effect", get_args(api.Effect)),
+        key_scope=get.choice(prefix + "keyScope", get_args(api.KeyScope), "all"),
         key_window=get.integer(prefix + "windowNs", 0),
         priority_weight=get.number(prefix + "worth", 1.0),
     )
