A failed write of withdrawals or levels alone is tried again

Seen by reading, then by a test: with a store that cannot be written a withdrawal was served from memory and never written unless a table changed too; a kill would have brought a drained endpoint back.

Cause: retry_due and the engine's next step looked at unsaved tables alone.

--- a/damsonpick/controller/engine.py
+++ b/damsonpick/controller/engine.py
@@ -202,7 +202,7 @@
         next_step = self.next_step()
         if next_step is not None:
             times.append(next_step)
-        if self.unsaved:
+        if self.persistence.failing:
             times.append(self.persistence.retry_at)
         if self.pin.applied:
             times.append(self.recorder.pin.until)
--- a/damsonpick/controller/table_persistence.py
+++ b/damsonpick/controller/table_persistence.py
@@ -44,7 +44,8 @@
         self.published = published
         self.log = log
         self.unsaved: set[int] = set()  # slices whose tables the store does not hold yet
-        self.retry_at = 0  # ns; meaningful while `unsaved` is not empty
+        self.failing = False  # the last write failed: tables, or withdrawals and levels alone, are to be written
+        self.retry_at = 0  # ns; meaningful while `failing`
         self.stored_actions: dict[str, float] = {}  # persistent actions as the store holds them
 
     def load(self, restore_admission: bool) -> None:
@@ -60,7 +61,7 @@
 
     def retry_due(self, now: int) -> bool:
         """Whether a write that failed should be tried again."""
-        return bool(self.unsaved) and now >= self.retry_at
+        return self.failing and now >= self.retry_at
 
     def save(self, now: int, slices: Iterable[int] = ()) -> None:
         """Write the tables of some slices, those still unsaved, and persistent actions that have changed.
@@ -73,6 +74,7 @@
         actions = self.published.persistent_actions()
         actions_changed = actions != self.stored_actions
         if not numbers and not actions_changed:
+            self.failing = False  # what could not be written has been taken back meanwhile
             return
         tables = {number: self.published.tables[number] for number in numbers}
         try:
@@ -81,12 +83,14 @@
             self._defer(now, set(numbers), error)
             return
         self.stored_actions = actions
-        if self.unsaved:
-            self.log.info("store_write_recovered", slices=len(numbers))
+        if self.failing:
+            self.log.info("store_write_recovered", slices=len(numbers), withdrawals_and_levels=actions_changed)
+        self.failing = False
         self.unsaved.clear()
 
     def _defer(self, now: int, slices: set[int], error: Exception) -> None:
         self.unsaved |= slices
+        self.failing = True
         self.retry_at = now + RETRY_NS
         self.log.error(
             "store_write_failed",
