A connection that is open is not given up because the event loop is late

Cause: the connect timeout (133 ms true time) and the connection's readiness were noticed in the same late turn of the loop, and the timer won each time. No connection came into the pool, so each request opened another and the loop was later still.

Change: complete_within gives an operation ten more turns of the loop after its timeout; on a loop that is not late they take no time. The same fault elsewhere: the platform pilot's watches and orders, and the proxy's connections, used the same timeout and use the same mend.

Failed before: both cases of test_timeouts.py (pilot's dial and fake's) on a loop whose turns take longer than the timeout.

--- a/damsonpick/protocols/platform/http_client.py
+++ b/damsonpick/protocols/platform/http_client.py
@@ -11,6 +11,7 @@
 from damsonpick.protocols.platform.errors import TransportError
 from damsonpick.protocols.platform.http_response import ResponseReader, build_request
 from damsonpick.runtime.sockets import idle
+from damsonpick.runtime.timeouts import complete_within
 
 READ_BYTES = 65_536
 STREAM_ERRORS = (  # a TimeoutError is an OSError
@@ -35,8 +36,9 @@
         TransportError: it cannot be opened in time.
     """
     try:
-        with anyio.fail_after(timeout_s):
-            return await anyio.connect_tcp(address.host, address.port)
+        return await complete_within(
+            timeout_s, lambda: anyio.connect_tcp(address.host, address.port), anyio.aclose_forcefully
+        )
     except TimeoutError:
         raise TransportError("connect", f"not within {timeout_s:g} s") from None
     except OSError as error:
--- a/damsonpick/proxy/server_connector.py
+++ b/damsonpick/proxy/server_connector.py
@@ -14,6 +14,7 @@
 from damsonpick.proxy.settings import Limits
 from damsonpick.proxy.upstream_request import AttemptError, UpstreamConnection
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.timeouts import complete_within
 
 QUEUE_LOOK_S = 0.05  # after which a waiter tries again by itself: the opening rate may allow a connection by then
 SWEEP_PERIOD_S = 1.0
@@ -96,11 +97,15 @@
 
     async def _dial(self, server: str, zone: str) -> UpstreamConnection:
         host, _, port = server.rpartition(":")
+
+        async def open_stream() -> streams.Stream:
+            if not self.reaches(zone):
+                await anyio.sleep_forever()
+            return await streams.dial(host.strip("[]"), int(port))
+
         try:
-            with anyio.fail_after(self.connect_timeout_s):
-                if not self.reaches(zone):
-                    await anyio.sleep_forever()
-                return UpstreamConnection(await streams.dial(host.strip("[]"), int(port)), self.limits.head)
+            stream = await complete_within(self.connect_timeout_s, open_stream, _abort)
+            return UpstreamConnection(stream, self.limits.head)
         except (OSError, TimeoutError):
             self.release(server, None, False, self.clock.now())
             raise AttemptError(Execution.NOT_SENT, "cannot connect") from None
@@ -128,6 +133,10 @@
                 connection.close()
 
 
+async def _abort(stream: streams.Stream) -> None:
+    stream.abort()
+
+
 def _wake(waiter: asyncio.Event | None) -> None:
     if waiter is not None:
         waiter.set()
--- a/damsonpick/testing/fakes/http.py
+++ b/damsonpick/testing/fakes/http.py
@@ -10,6 +10,7 @@
 from anyio.abc import SocketStream
 
 from damsonpick.runtime import sockets
+from damsonpick.runtime.timeouts import complete_within
 
 READ_BYTES = 65_536
 
@@ -51,10 +52,12 @@
         """
         host, _, port = address.rpartition(":")
         try:
-            with anyio.fail_after(timeout_s):
-                return cls(await anyio.connect_tcp(host.strip("[]"), int(port)))
+            stream = await complete_within(
+                timeout_s, lambda: anyio.connect_tcp(host.strip("[]"), int(port)), anyio.aclose_forcefully
+            )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"{address}: {error or 'connect timed out'}") from None
+        return cls(stream)
 
     async def post(self, target: str, headers: dict[str, str]) -> Answer:
         """Send a POST without body and wait for the answer.
