Scenarios tell how starved each process was; gateways run in three processes

Need: beside load nothing told a machine that is too small from a pilot that is too slow. Change: LoopLagMonitor measures the lag of the loop and the CPU of a process; the daemon logs loop_lagged (once in 10 s at most) and both figures at its end, the scenario's report has a line a process. No verdict depends on it.

Found with it: four copies beside six loops, daemon late by 0.04 to 0.10 s at 1.2 to 2.1 s of CPU in 14 s; the one process of twenty gateways late by 0.14 to 0.69 s a turn.

--- a/damsonpick/controller/daemon.py
+++ b/damsonpick/controller/daemon.py
@@ -14,6 +14,7 @@
 from damsonpick.controller.queries import Ports
 from damsonpick.controller.snapshot_task import NOTHING_LEARNED
 from damsonpick.decisions.planner import Planner
+from damsonpick.runtime.loop_lag import LoopLagMonitor
 from damsonpick.runtime.supervision import keep_running
 from damsonpick.settings.model import PilotSettings
 from damsonpick.solver import work
@@ -49,6 +50,7 @@
         self.settings = settings
         self.log = log
         self.components = Components(settings, log, planner_factory, advisor_factory, solve)
+        self.loop_lag = LoopLagMonitor(log)
 
     @property
     def ports(self) -> Ports:
@@ -90,7 +92,14 @@
                 if self.settings.learned_state.enabled:
                     await components.snapshot_task.write()
             components.close()
-            self.log.info("pilot_ended", name=self.settings.pilot.name)
+            load = self.loop_lag.load()
+            self.log.info(
+                "pilot_ended",
+                name=self.settings.pilot.name,
+                longest_lag_ms=round(load.longest_lag_s * 1e3),
+                cpu_s=round(load.cpu_s, 2),
+                wall_s=round(load.wall_s, 2),
+            )
 
     def _restore(self) -> None:
         """Start the engine on what an earlier incarnation stored and learned."""
@@ -107,6 +116,7 @@
             "load reports": components.load_report_task.run,
             "leases": components.lease_task.run,
             "drive loop": components.drive_loop.run,
+            "loop lag": self.loop_lag.run,
         }
         if self.settings.learned_state.enabled:
             tasks["snapshots"] = components.snapshot_task.run
--- a/damsonpick/testing/fakes/fleet.py
+++ b/damsonpick/testing/fakes/fleet.py
@@ -17,6 +17,7 @@
 
 from damsonpick.runtime import port_files
 from damsonpick.runtime.clock import Clock, ClockOrigin
+from damsonpick.runtime.loop_lag import LoopLagMonitor
 from damsonpick.testing.fakes.balancer import FakeBalancer
 from damsonpick.testing.fakes.gateway import FakeGateway
 from damsonpick.testing.fakes.gateway_context import GatewayContext, Network, TrafficClass
@@ -107,6 +108,7 @@
         self._gateway_names = list(self._gateways)
         self._gateway_shares = [self._rng.lognormvariate(0.0, GATEWAY_SPREAD) for _ in self._gateways]
         self._request_count = 0
+        self._loop_lag = LoopLagMonitor()
         self._commands: dict[str, Callable[[Command], None]] = {
             "cut": self._isolate_zone,
             "away": self._isolate_gateways,
@@ -146,9 +148,11 @@
             for gateway in self._gateways.values():
                 group.start_soon(gateway.follow)
             group.start_soon(self._generate_requests, group)
+            group.start_soon(self._loop_lag.run)
             async for line in anyio.wrap_file(sys.stdin):
                 self.carry_out(json.loads(line))
             group.cancel_scope.cancel()
+        self._record.put("process", name=f"gateways-{self._part}", **self._loop_lag.load()._asdict())
         self._record.close()
 
     # Clients
--- a/damsonpick/testing/scenarios/environment.py
+++ b/damsonpick/testing/scenarios/environment.py
@@ -12,6 +12,7 @@
 
 from damsonpick import interface as api
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.loop_lag import LoopLagMonitor
 from damsonpick.settings.model import Rules
 from damsonpick.testing.fakes.list_server import FakeListServer
 from damsonpick.testing.fakes.record import Recorder
@@ -24,7 +25,7 @@
 NS_PER_MS = 1_000_000
 CAPACITY_FACTORS = (0.8, 1.0, 1.25)
 MEAN_WORK_FACTOR = 1.083  # mean of the random factor that clients apply to a request's work
-PROXY_PROCESSES = 3  # real proxies need more CPU than fake gateways
+GATEWAY_PROCESSES = 3  # what holds up one of them does not hold up all gateways together
 SOTW_GATEWAY_EVERY = 4  # each fourth fake gateway speaks the state-of-the-world variant
 
 
@@ -59,12 +60,14 @@
         self.gateways = GatewayProcesses(folder)
         self._group: TaskGroup | None = None
         self._list_server: grpc.aio.Server | None = None
+        self._loop_lag = LoopLagMonitor()
 
     # Start and stop
 
     async def start(self, group: TaskGroup) -> None:
         """Start servers and list first, then the pilot, then the gateways."""
         self._group = group
+        group.start_soon(self._loop_lag.run)
         rules = Rules.model_validate(self.script.pilot["rules"])
         for number in range(self.script.day.servers):
             server_random = random.Random(f"{self.seed} server {number}")
@@ -103,7 +106,7 @@
         balancers = [
             {"name": f"lb-{number}", "zone": day.zones[number % len(day.zones)]} for number in range(day.balancers)
         ]
-        processes = PROXY_PROCESSES if self.proxies else 1
+        processes = min(GATEWAY_PROCESSES, len(gateways) + len(balancers))
         for part in range(processes):
             setup = self._gateways_setup(part, processes)
             setup["gateways"] = gateways[part::processes]
@@ -159,6 +162,7 @@
                 server.stop("end of the day")
             if self._list_server is not None:
                 await self._list_server.stop(None)
+            self.record.put("process", name="servers", **self._loop_lag.load()._asdict())
             self.record.close()
 
     # What faults do
--- a/damsonpick/testing/scenarios/outcome.py
+++ b/damsonpick/testing/scenarios/outcome.py
@@ -12,6 +12,8 @@
 from damsonpick.settings.model import PilotSettings
 from damsonpick.testing.rules import Checker, EffectRule, Limits, RuleResult
 
+PILOT_LOG = "pilot.log"
+MS_PER_SECOND = 1e3
 LEAD_NS = 2_000_000_000  # of the scenario, before the first request counts
 
 
@@ -60,6 +62,22 @@
         return self.gateway.startswith("lb-")
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessLoad:
+    """How starved a process of the scenario was; true seconds.
+
+    Attributes:
+        name: of the process.
+        longest_lag_s: the longest time by which its event loop was late.
+        cpu_s, wall_s: its CPU time, and the time it ran; 0: it was killed before it could tell.
+    """
+
+    name: str
+    longest_lag_s: float
+    cpu_s: float
+    wall_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """What a scenario showed.
@@ -70,6 +88,7 @@
         requests: how many counted.
         endings: how many requests ended in each way.
         service_by_protocol: where gateways of both protocols ran; else empty.
+        processes: how starved each process was; no verdict depends on it.
     """
 
     rules: list[RuleResult]
@@ -77,6 +96,7 @@
     requests: int
     endings: dict[str, int]
     service_by_protocol: dict[str, float] = field(default_factory=dict)
+    processes: list[ProcessLoad] = field(default_factory=list)
 
     @property
     def kept(self) -> bool:
@@ -93,6 +113,15 @@
         }
         if self.service_by_protocol:
             found["fronts"] = {name: round(service, 4) for name, service in self.service_by_protocol.items()}
+        found["processes"] = [
+            {
+                "process": load.name,
+                "longest_lag_s": round(load.longest_lag_s, 3),
+                "cpu_s": round(load.cpu_s, 2),
+                "wall_s": round(load.wall_s, 2),
+            }
+            for load in self.processes
+        ]
         found["rules"] = [rule.as_dict() for rule in self.rules]
         return found
 
@@ -143,10 +172,46 @@
     first_counted_ns = min((request.begun_ns for request in requests), default=0) + LEAD_NS
     counted = [request for request in requests if request.begun_ns >= first_counted_ns]
     return Outcome(
-        checker.results(), service_of(counted), len(counted), _endings(counted), _service_by_protocol(counted)
+        checker.results(),
+        service_of(counted),
+        len(counted),
+        _endings(counted),
+        _service_by_protocol(counted),
+        [*_pilot_load(folder), *_recorded_loads(records)],
     )
 
 
+def _recorded_loads(records: Iterable[dict[str, Any]]) -> list[ProcessLoad]:
+    return [
+        ProcessLoad(record["name"], record["longest_lag_s"], record["cpu_s"], record["wall_s"])
+        for record in records
+        if record["e"] == "process"
+    ]
+
+
+def _pilot_load(folder: Path) -> list[ProcessLoad]:
+    """The pilot's load by its own log, over all its incarnations; empty if the log tells nothing."""
+    entries = _log_entries(folder / PILOT_LOG)
+    lags_ms = [entry["longest_lag_ms"] for entry in entries if "longest_lag_ms" in entry]
+    endings = [entry for entry in entries if entry.get("event") == "pilot_ended" and "wall_s" in entry]
+    if not lags_ms:
+        return []
+    cpu_s, wall_s = sum(entry["cpu_s"] for entry in endings), sum(entry["wall_s"] for entry in endings)
+    return [ProcessLoad("pilot", max(lags_ms) / MS_PER_SECOND, cpu_s, wall_s)]
+
+
+def _log_entries(path: Path) -> list[dict[str, Any]]:
+    entries = []
+    for line in path.read_text().splitlines() if path.exists() else ():
+        try:
+            entry = json.loads(line)
+        except json.JSONDecodeError:
+            continue
+        if isinstance(entry, dict):
+            entries.append(entry)
+    return entries
+
+
 def _endings(requests: Sequence[CompletedRequest]) -> dict[str, int]:
     endings: Counter[str] = Counter()
     for request in requests:
--- a/damsonpick/testing/scenarios/report.py
+++ b/damsonpick/testing/scenarios/report.py
@@ -11,7 +11,7 @@
 
 from damsonpick.settings.problems import SettingsError
 from damsonpick.testing.rules import Breach, RuleResult
-from damsonpick.testing.scenarios.outcome import Outcome
+from damsonpick.testing.scenarios.outcome import Outcome, ProcessLoad
 from damsonpick.testing.scenarios.player import play
 from damsonpick.testing.scenarios.script import Script, load
 
@@ -80,13 +80,21 @@
     click.echo("  ends: " + ", ".join(f"{ending} {count}" for ending, count in sorted(outcome.endings.items())))
     for rule in outcome.rules:
         _print_rule(rule)
+    for process in outcome.processes:
+        click.echo(f"  {process.name}: loop late by {process.longest_lag_s:.2f} s at most, {_cpu_text(process)}")
+
+
+def _cpu_text(process: ProcessLoad) -> str:
+    if not process.wall_s:
+        return "CPU not known: it was killed"
+    return f"{process.cpu_s:.1f} s of CPU in {process.wall_s:.1f} s"
 
 
 def _print_rule(rule: RuleResult) -> None:
-    verdict = "BROKEN" if rule.breaches else "kept  "
-    click.echo(
-        f"  {verdict}  {rule.name:<30} tested {rule.tested:>7}  worst {rule.worst:8.3f} of {rule.limit:g} {rule.unit}"
-    )
+    kept = "kept" if rule.tested else "NOT TESTED"
+    verdict = "BROKEN" if rule.breaches else kept
+    figures = f"tested {rule.tested:>7}  worst {rule.worst:8.3f} of {rule.limit:g} {rule.unit}"
+    click.echo(f"  {verdict:<10}  {rule.name:<30} {figures}")
     for breach in rule.breaches[:SHOWN_BREACHES]:
         click.echo("          " + _breach_text(breach))
     if len(rule.breaches) > SHOWN_BREACHES:
