No withdrawal or level is lost beside an order that the registry rejects

Effect on callers: a third SYNTAX answer dropped the whole request, so that a drain in it did not bind; a withdrawal that the registry could not use yet was not ordered again; BUSY was not logged.

Cause: the order client dropped by request, and only entries told the planner of their rejection. Change: the order at fault is searched for by halves and dropped alone with order_abandoned; withdrawals, levels and clears are ordered again after 0.1 to 5 s, up to twelve times, unless a newer order takes their place; order_request_busy once in a row.

--- a/damsonpick/protocols/platform/order_client.py
+++ b/damsonpick/protocols/platform/order_client.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import anyio
 
@@ -13,6 +14,7 @@
 from damsonpick.protocols.platform.errors import TransportError
 from damsonpick.protocols.platform.http_client import HttpConnection
 from damsonpick.protocols.platform.order_codec import Order, OrderRequest, Rejection, decode_response
+from damsonpick.protocols.platform.pending_orders import OrderKey, order_key
 from damsonpick.protocols.platform.registry import Registry
 from damsonpick.runtime.backoff import Backoff
 
@@ -21,7 +23,10 @@
 MAX_IDLE_S = 3.0  # the registry closes an idle connection after some 10 s
 FIRST_RETRY_DELAY_S = 0.03
 MAX_RETRY_DELAY_S = 0.4
-MAX_SYNTAX_REJECTIONS = 3  # in a row, of the oldest orders
+MAX_SYNTAX_REJECTIONS = 3  # in a row, of one order alone
+MAX_REORDERS = 12  # of one rejected order
+FIRST_REORDER_DELAY_S = 0.1
+MAX_REORDER_DELAY_S = 5.0
 MAX_LOGGED_REQUEST_BYTES = 400
 MAX_LOGGED_RESPONSE_BYTES = 80
 ORDER_PATH = "/txn"
@@ -69,6 +74,56 @@
         return self._transmission_time_s(order_count)
 
 
+class RejectedOrder(NamedTuple):
+    """An order that is to be sent again."""
+
+    order: Order
+    attempts: int
+    due_s: float
+
+
+class RejectedOrders:
+    """Withdrawals, levels and cleared tables that the registry rejected: each is ordered again after a growing delay.
+
+    A newer order for the same thing takes its place.
+    """
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._waiting: dict[OrderKey, RejectedOrder] = {}
+        self._attempts: dict[OrderKey, int] = {}  # of those that are on their way again
+
+    def add(self, order: Order, now_s: float) -> bool:
+        """Note a rejected order; False if it has been rejected too often."""
+        key = order_key(order)
+        attempts = self._attempts.pop(key, 0) + 1
+        if attempts > MAX_REORDERS:
+            return False
+        delay_s = min(MAX_REORDER_DELAY_S, FIRST_REORDER_DELAY_S * 2 ** (attempts - 1))
+        self._waiting[key] = RejectedOrder(order, attempts, now_s + delay_s)
+        return True
+
+    def supersede(self, orders: Iterable[Order]) -> None:
+        """Forget what newer orders replace."""
+        for order in orders:
+            self._waiting.pop(order_key(order), None)
+            self._attempts.pop(order_key(order), None)
+
+    def take_due(self, now_s: float) -> list[Order]:
+        """Return the orders that are due again."""
+        due = {key: rejected for key, rejected in self._waiting.items() if rejected.due_s <= now_s}
+        for key, rejected in due.items():
+            del self._waiting[key]
+            self._attempts[key] = rejected.attempts
+        return [rejected.order for rejected in due.values()]
+
+    def next_due_s(self, now_s: float) -> float | None:
+        """Return the seconds until one is due; None: none is waiting."""
+        if not self._waiting:
+            return None
+        return max(0.0, min(rejected.due_s for rejected in self._waiting.values()) - now_s)
+
+
 class OrderClient:
     """Sends pending orders until the registry has accepted them.
 
@@ -98,10 +153,15 @@
         self._log = log
         self._connection = HttpConnection(address, MAX_IDLE_S)
         self._wakeup = anyio.Event()
-        self._syntax_rejections = 0
+        self._syntax_rejections = 0  # of one order alone
+        self._max_orders: int | None = None  # of a request, while the order that cannot be read is searched for
+        self._busy = False  # the last request was rejected as BUSY
+        self._rejected = RejectedOrders()
 
     def push(self, orders: Iterable[Order]) -> None:
         """Add the orders of one step of the planner."""
+        orders = tuple(orders)
+        self._rejected.supersede(orders)
         self._pending.push(orders)
         self.wake()
 
@@ -119,8 +179,10 @@
         """Send orders as they come, until cancelled."""
         while True:
             self._wakeup = anyio.Event()
+            self._pending.push(self._rejected.take_due(anyio.current_time()))
             if self._pending.is_empty():
-                await self._wakeup.wait()
+                with anyio.move_on_after(self._rejected.next_due_s(anyio.current_time())):
+                    await self._wakeup.wait()
                 continue
             connection = self._connection
             try:
@@ -140,7 +202,7 @@
         except TransportError as error:
             self._log.warning("registry_unreachable", reason=str(error), pending_orders=self._pending.key_count())
             return False
-        request = self._pending.next_request(self._registry.ownership.epoch)
+        request = self._pending.next_request(self._registry.ownership.epoch, self._max_orders)
         if request is None:
             return True
         self.request_count += 1
@@ -167,7 +229,7 @@
             reason = f"unreadable response {body[:MAX_LOGGED_RESPONSE_BYTES]!r}"
             return await self._handle_unconfirmed(request, reason)
         if response.accepted_count is None:
-            self._handle_rejection(request, response.rejection)
+            self._handle_rejected_request(request, response.rejection)
             return False
         self._handle_accepted(request, response.accepted_count)
         return True
@@ -185,27 +247,47 @@
                 position=accepted_count,
                 order_count=len(request.orders),
             )
-            self._enqueue(*self._registry.rejection_events(acknowledged.rejected))
+            self._handle_rejected_order(acknowledged.rejected)
         self._delays.reset()
         self._syntax_rejections = 0
+        self._max_orders = None
+        self._busy = False
 
-    def _handle_rejection(self, request: OrderRequest, rejection: Rejection | None) -> None:
-        """Keep the orders of a rejected request; drop them if it can never be accepted."""
-        if rejection is not Rejection.SYNTAX:
-            return
-        self._syntax_rejections += 1
+    def _handle_rejected_order(self, order: Order) -> None:
+        """The planner decides again on a rejected entry; anything else is ordered again later.
+
+        A withdrawal that the registry cannot use yet, as it has not heard of the endpoint, must not be lost.
+        """
+        self._enqueue(*self._registry.rejection_events(order))
+        if not isinstance(order, api.SetEntry) and not self._rejected.add(order, anyio.current_time()):
+            self._log.error("order_abandoned", order=repr(order), attempts=MAX_REORDERS)
+
+    def _handle_rejected_request(self, request: OrderRequest, rejection: Rejection | None) -> None:
+        """Keep the orders of a rejected request; drop one that can never be read, and it alone."""
+        if rejection is Rejection.SYNTAX:
+            self._handle_syntax_rejection(request)
+        elif not self._busy:  # once in a row
+            self._busy = True
+            self._log.warning("order_request_busy", pending_orders=self._pending.key_count())
+
+    def _handle_syntax_rejection(self, request: OrderRequest) -> None:
+        """Search for the order that cannot be read, by halves: it must neither block the others nor take them along."""
         self._log.error(
             "order_request_rejected",
-            attempts=self._syntax_rejections,
+            orders=len(request.orders),
             body=request.body[:MAX_LOGGED_REQUEST_BYTES].decode("utf-8", "replace"),
         )
+        self._max_orders = max(1, len(request.orders) // 2)
+        if len(request.orders) > 1:
+            return
+        self._syntax_rejections += 1
         if self._syntax_rejections < MAX_SYNTAX_REJECTIONS:
             return
-        # One request that cannot be read must not block all others for good.
         self._syntax_rejections = 0
+        (order,) = request.orders
         self._pending.discard(request.orders)
-        for order in request.orders:
-            self._enqueue(*self._registry.rejection_events(order))
+        self._log.error("order_abandoned", order=repr(order), attempts=MAX_SYNTAX_REJECTIONS)
+        self._enqueue(*self._registry.rejection_events(order))
 
 
 def count_by_kind(orders: Iterable[Order]) -> dict[str, int]:
--- a/damsonpick/protocols/platform/pending_orders.py
+++ b/damsonpick/protocols/platform/pending_orders.py
@@ -163,11 +163,12 @@
         pending = self._pending_table(table)
         return pending is not None and endpoint in pending.entries
 
-    def next_request(self, ownership_epoch: int) -> OrderRequest | None:
+    def next_request(self, ownership_epoch: int, max_orders: int | None = None) -> OrderRequest | None:
         """Build the next request from the oldest orders.
 
         Args:
             ownership_epoch: the registry's at this moment.
+            max_orders: how many it may hold; None: as many as fit.
 
         Returns:
             The request, with at least one order and at most `MAX_REQUEST_BYTES` if it has several; None if no order
@@ -179,7 +180,7 @@
         for order in self:
             encoded_order = self.codec.encode(order)
             size_bytes += len(encoded_order) + 1
-            if encoded and size_bytes > MAX_REQUEST_BYTES:
+            if encoded and (size_bytes > MAX_REQUEST_BYTES or len(encoded) == max_orders):
                 break
             encoded.append(encoded_order)
             included.append(order)
--- /dev/null
+++ b/tests/test_platform_order_client.py
@@ -0,0 +1,124 @@
+"""Orders that the registry rejects: none is lost without a word, none takes others along or blocks them."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import anyio
+import structlog
+from structlog.testing import LogCapture
+
+from damsonpick import interface as api
+from damsonpick.protocols.platform.address import Address
+from damsonpick.protocols.platform.order_client import OrderClient, RetryDelays
+from damsonpick.protocols.platform.pending_orders import PendingOrders
+from damsonpick.protocols.platform.registry import Registry
+from damsonpick.protocols.platform.watch_snapshot import WatchSnapshot
+from damsonpick.testing.fakes.faulty_http import answer_bytes
+from damsonpick.testing.fakes.registry import FakeRegistry
+from tests.platform_world import until
+
+
+class PickyRegistry(FakeRegistry):
+    """Rejects requests as SYNTAX that name one endpoint, and stops at orders for another."""
+
+    unreadable, unknown, rejections, busy = "", "", 0, 0
+
+    async def _serve_orders(self, orders, stream):
+        if self.busy:
+            self.busy -= 1
+            await stream.send(answer_bytes(b'{"error":"BUSY"}', "409 Conflict"))
+            return True
+        if any(order.get("server") == self.unreadable for order in orders):
+            self.rejections += 1
+            await stream.send(answer_bytes(b'{"error":"SYNTAX"}', "400 Bad Request"))
+            return True
+        usable = next((k for k, order in enumerate(orders) if order.get("server") == self.unknown), len(orders))
+        await self._apply(orders[:usable], reports_sync=False)
+        await stream.send(answer_bytes(json.dumps({"taken": usable}).encode()))
+        return True
+
+
+def play(registry: PickyRegistry, scene) -> LogCapture:
+    """Run a scene with a client that has joined the registry's two slices."""
+    captured = LogCapture()
+    log = structlog.wrap_logger(None, processors=[captured])
+    known = Registry(PendingOrders(("look", "pay")), 4, 2)
+    snapshot = WatchSnapshot()
+    snapshot.tables = {0: {}, 1: {}}
+    known.reconcile(snapshot)
+
+    async def run() -> None:
+        async with registry.running() as port, anyio.create_task_group() as group:
+            delays = RetryDelays(random.Random(1), lambda count: 0.0)
+            client = OrderClient(Address("127.0.0.1", port), known, lambda *events: None, delays, log)
+            group.start_soon(client.run)
+            await scene(client)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    return captured
+
+
+def names(captured: LogCapture) -> list[str]:
+    return [entry["event"] for entry in captured.entries]
+
+
+def test_an_order_that_cannot_be_read_takes_no_withdrawal_or_level_along():
+    """A third SYNTAX answer dropped the whole request, withdrawals and levels with it."""
+    registry = PickyRegistry(2, 2)
+    registry.unreadable = "bad"
+
+    async def scene(client: OrderClient) -> None:
+        orders = [api.SetWithdrawn(f"w{k}", True) for k in range(5)]
+        orders += [api.SetEntry(0, "p", 1.0), api.SetEntry(0, "bad", 1.0), api.SetEntry(1, "q", 1.0)]
+        client.push([*orders, api.SetAdmission(None, (1,), 0.5, 1)])
+        await until(lambda: registry.levels and registry.tables[1])
+        assert registry.withdrawn == {f"w{k}" for k in range(5)} and registry.levels == {"pay": 0.5}
+        assert registry.tables == {0: {"p": 1.0}, 1: {"q": 1.0}}
+
+    captured = play(registry, scene)
+    abandoned = [entry["order"] for entry in captured.entries if entry["event"] == "order_abandoned"]
+    assert len(abandoned) == 1 and "bad" in abandoned[0]
+
+
+def test_a_rejected_withdrawal_is_ordered_again_until_the_registry_can_use_it():
+    registry = PickyRegistry(2, 2)
+    registry.unknown = "late"
+
+    async def scene(client: OrderClient) -> None:
+        client.push([api.SetWithdrawn("late", True), api.SetWithdrawn("p", True)])
+        await until(lambda: registry.withdrawn == {"p"})
+        await anyio.sleep(0.3)
+        registry.unknown = ""
+        await until(lambda: registry.withdrawn == {"p", "late"})
+
+    assert "order_rejected" in names(play(registry, scene))
+
+
+def test_a_newer_order_takes_the_place_of_a_rejected_one():
+    registry = PickyRegistry(2, 2)
+    registry.unknown = "late"
+
+    async def scene(client: OrderClient) -> None:
+        client.push([api.SetWithdrawn("late", True)])
+        await until(lambda: registry.request_count or client.request_count)
+        await anyio.sleep(0.02)
+        registry.unknown = ""
+        client.push([api.SetWithdrawn("late", False)])
+        await anyio.sleep(0.5)
+        assert not registry.withdrawn
+
+    play(registry, scene)
+
+
+def test_a_busy_registry_is_logged_once_in_a_row():
+    registry = PickyRegistry(2, 2)
+    registry.busy = 3
+
+    async def scene(client: OrderClient) -> None:
+        client.push([api.SetWithdrawn("p", True)])
+        await until(lambda: registry.withdrawn)
+
+    assert names(play(registry, scene)).count("order_request_busy") == 1
