A response of the registry has one timeout, not one for each of its bytes

Cause: HttpConnection.request gave each wait for bytes the whole timeout; a response that came byte by byte held all orders, drains among them, for as long as it liked. Change: the response as a whole has the timeout, and two short receives more for what arrived during a late turn of the loop. Failed before: test_platform_http_client.py (a byte each 20 ms was read to its end).

--- a/damsonpick/protocols/platform/http_client.py
+++ b/damsonpick/protocols/platform/http_client.py
@@ -14,6 +14,8 @@
 from damsonpick.runtime.timeouts import complete_within
 
 READ_BYTES = 65_536
+MIN_RECEIVE_TIMEOUT_S = 0.05  # for bytes that arrived during a long step of the event loop, although the time is up
+MAX_LATE_RECEIVES = 2  # after the time is up, for the same reason
 STREAM_ERRORS = (  # a TimeoutError is an OSError
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -112,7 +114,7 @@
             method: of the request.
             path: of the request.
             body: of the request.
-            timeout_s: for sending, and for each wait for bytes of the response.
+            timeout_s: for sending, and for the whole response after that.
 
         Raises:
             TransportError: the request may or may not have been carried out.
@@ -124,8 +126,7 @@
         reusable = False
         try:
             await send(stream, build_request(method, path, self.address, body), timeout_s)
-            while not reader.complete:
-                reader.feed(await receive(stream, timeout_s))
+            await self._read_response(stream, reader, timeout_s)
             reusable = reader.keeps_alive()
             self._last_used_s = anyio.current_time()
             return HttpResponse(reader.status(), bytes(reader.body))
@@ -133,6 +134,18 @@
             if not reusable:
                 await self.close()
 
+    async def _read_response(self, stream: SocketStream, reader: ResponseReader, timeout_s: float) -> None:
+        """Read to the end of the response; one that comes byte by byte has no more time than another."""
+        deadline_s = anyio.current_time() + timeout_s
+        late_receives = 0
+        while not reader.complete:
+            remaining_s = deadline_s - anyio.current_time()
+            if remaining_s <= 0:
+                late_receives += 1
+            if late_receives > MAX_LATE_RECEIVES:
+                raise TransportError("receive", f"no whole response within {timeout_s:g} s")
+            reader.feed(await receive(stream, max(remaining_s, MIN_RECEIVE_TIMEOUT_S)))
+
     async def close(self) -> None:
         """Close the connection, if there is one."""
         stream, self._stream = self._stream, None
--- a/damsonpick/protocols/platform/watch_client.py
+++ b/damsonpick/protocols/platform/watch_client.py
@@ -20,7 +20,6 @@
 CONNECT_TIMEOUT_S = 0.5  # for the connection, and for sending the request
 FIRST_RETRY_DELAY_S = 0.04
 MAX_RETRY_DELAY_S = 1.0
-MIN_RECEIVE_TIMEOUT_S = 0.05  # for bytes that arrived during a long step of the event loop, although the time is up
 NO_STATUS = 0
 STATUS_OK = 200
 MAX_LOGGED_BODY_BYTES = 80
@@ -58,7 +57,7 @@
         last_line_s = anyio.current_time()
         while not reader.complete:
             remaining_s = last_line_s + silence_timeout_s - anyio.current_time()
-            reader.feed(await http_client.receive(stream, max(remaining_s, MIN_RECEIVE_TIMEOUT_S)))
+            reader.feed(await http_client.receive(stream, max(remaining_s, http_client.MIN_RECEIVE_TIMEOUT_S)))
             _check_status(reader)
             lines = reader.take_lines()
             if lines:
