A reload names every change that needs a restart

Cause: seed, limits.sockets and zones were passed over at SIGHUP without a word, so that an operator took them for done. Change: configuration_needs_restart names the keys that differ, and the former values stay in force. Failed before: all four cases of test_platform_config_reloader.py. After: passed.

--- a/damsonpick/protocols/platform/config_reloader.py
+++ b/damsonpick/protocols/platform/config_reloader.py
@@ -9,6 +9,15 @@
 from damsonpick.protocols.platform.config import Config, read_config
 from damsonpick.protocols.platform.errors import ConfigError
 
+KEYS = {  # of the configuration file, by field; a change of these needs a restart
+    "settings": "settings",
+    "zones": "settings.zones",
+    "name": "name",
+    "listen": "listen",
+    "seed": "seed",
+    "max_descriptors": "limits.sockets",
+}
+
 MoveTo = Callable[[Address], None]
 
 
@@ -62,18 +71,16 @@
             self._move_registry(changed.registry)
         if changed.discovery != former.discovery:
             self._move_discovery(changed.discovery)
-        if _needs_restart(former, changed):
+        differing = _fields_that_need_restart(former, changed)
+        if differing:
             self.config = changed._replace(
-                settings=former.settings,
-                zones=former.zones,
-                name=former.name,
-                listen=former.listen,
+                **{field: getattr(former, field) for field in differing},
             )
             self._log.warning(
                 "configuration_needs_restart",
-                reason="settings, name or listen differ; the former ones stay in force",
+                reason=f"{', '.join(KEYS[field] for field in differing)}: changed; the former ones stay in force",
             )
 
 
-def _needs_restart(former: Config, changed: Config) -> bool:
-    return (former.settings, former.name, former.listen) != (changed.settings, changed.name, changed.listen)
+def _fields_that_need_restart(former: Config, changed: Config) -> list[str]:
+    return [field for field in KEYS if getattr(former, field) != getattr(changed, field)]
