A retry of the proxy takes one turn with round robin

Cause: _attempt_until_answered picked a server after a failed attempt only to see whether there is one, and picked again for the attempt itself; with round robin the first one lost its turn. Change: the server that was picked is used. Failed before: test_a_retry_takes_one_turn_with_round_robin (one server passed over).

--- a/damsonpick/proxy/request_handler.py
+++ b/damsonpick/proxy/request_handler.py
@@ -230,8 +230,8 @@
     async def _attempt_until_answered(self, client: Client, head: http.Head, request: RoutedRequest) -> bool:
         attempted: set[str] = set()
         now = request.arrived
+        server = self.router.pick(now, request, attempted)
         while True:
-            server = self.router.pick(now, request, attempted)
             if server is None:
                 server = await self._wait_for_server(request, attempted)
                 now = self.clock.now()
@@ -246,7 +246,8 @@
                 attempts = len(attempted)
                 if not self.router.spend_retry(now, request, failed.execution, attempts, replayable=replayable):
                     raise
-                if self.router.pick(now, request, attempted) is None:
+                server = self.router.pick(now, request, attempted)  # once: with round robin it is this server's turn
+                if server is None:
                     raise  # no other server
                 client.rewind()
 
@@ -293,7 +294,7 @@
             raise
         finally:
             now = self.clock.now()
-            self.router.load_balancer.request_ended(now, server, succeeded)
+            self.router.load_balancer.request_ended(now, server, succeeded, started)
             self._counts_of(request).count_attempt(zone, server, succeeded, (now - started) / 1e6)
             if connection is not None:
                 self.connector.release(server, connection, reusable, now)
--- a/tests/test_proxy_sockets.py
+++ b/tests/test_proxy_sockets.py
@@ -532,3 +532,17 @@
     found = await campaign(requests=400, seed=3)
     assert found["requests"] == 400 and found["doubled_writes"] == 0 and found["unanswered"] == 0, found
     assert found["kinds"] >= 20 and found["answered"] > 100, found
+
+
+async def test_a_retry_takes_one_turn_with_round_robin():
+    """A server was picked once only to see whether there is one, and lost its turn."""
+    async with world() as w:
+        servers = [await Server().start(w.group) for _ in range(3)]
+        w.retry(PROOF)
+        dead = "127.0.0.1:1"  # refuses connections, so that the attempt is proved not to have run
+        w.table({dead: 1000} | {server.name: 1000 for server in servers})
+        w.proxy.router.load_balancer.policy = Policy.ROUND_ROBIN
+        w.proxy.router.load_balancer.ejection_failures = 0
+        for _ in range(2):
+            assert (await w.ask())[0] == 200
+        assert [len(server.heads) for server in servers] == [1, 1, 0]
