A request sent before an ejection does not end it by its success

Effect: a hung server was ejected and let back at once by a late answer of an earlier request, so that more requests failed there. Cause: the end of a request did not tell when it was sent. Change: a success ends an ejection only if its request was sent after it. Failed before: test_a_success_of_a_request_sent_before_an_ejection_does_not_end_it (the old text takes no time of sending).

--- a/damsonpick/proxy/load_balancer.py
+++ b/damsonpick/proxy/load_balancer.py
@@ -85,6 +85,7 @@
         self.active_requests: dict[str, int] = {}  # by server, of this proxy
         self.consecutive_failures: dict[str, int] = {}  # by server
         self.ejected_until: dict[str, int] = {}  # ns, by server
+        self._ejected_at: dict[str, int] = {}  # ns, by server
 
     def pick(
         self, now: int, table: WeightedTable, withdrawn: Collection[str], attempted: Collection[str] = ()
@@ -143,13 +144,15 @@
         """Count a request that is sent to a server."""
         self.active_requests[server] = self.active_requests.get(server, 0) + 1
 
-    def request_ended(self, now: int, server: str, succeeded: bool) -> None:
+    def request_ended(self, now: int, server: str, succeeded: bool, started: int | None = None) -> None:
         """Count the end of a request, and eject the server after too many failures in a row.
 
         Args:
             now: ns.
             server: where the request was sent.
             succeeded: whether the server is not to blame.
+            started: when the request was sent, ns; None: just now. A success of one that was sent before the server was
+                ejected says nothing of the server since, and leaves it ejected.
         """
         left = self.active_requests.get(server, 1) - 1
         if left > 0:
@@ -158,7 +161,8 @@
             self.active_requests.pop(server, None)
         if succeeded:
             self.consecutive_failures.pop(server, None)
-            self.ejected_until.pop(server, None)
+            if started is None or started >= self._ejected_at.get(server, 0):
+                self.ejected_until.pop(server, None)
             return
         failures = self.consecutive_failures.get(server, 0) + 1
         self.consecutive_failures[server] = failures
@@ -170,3 +174,5 @@
         duration_s = self.rng.uniform(MIN_EJECTION_S, MAX_EJECTION_S)
         self.ejected_until[server] = now + int(duration_s * SECOND_NS)
         self.ejected_until = {name: until for name, until in self.ejected_until.items() if until > now}
+        self._ejected_at = {name: self._ejected_at.get(name, now) for name in self.ejected_until}
+        self._ejected_at[server] = now
--- a/tests/test_proxy_load_balancer.py
+++ b/tests/test_proxy_load_balancer.py
@@ -101,3 +101,16 @@
     assert balancer.pick(0, WeightedTable({"a": 1, "b": 1}), ("a",), {"b"}) is None
     huge = WeightedTable({"a": 1e9, "b": 1e-9})
     assert balancer.pick(0, huge, ("a",)) == "b"
+
+
+def test_a_success_of_a_request_sent_before_an_ejection_does_not_end_it():
+    table, balancer = WeightedTable({"a": 1, "b": 1}), LoadBalancer(random.Random(1), ejection_failures=3)
+    for _ in range(4):
+        balancer.request_started("a")
+    for _ in range(3):
+        balancer.request_ended(10, "a", False, 9)
+    balancer.request_ended(11, "a", True, 8)
+    assert {balancer.pick(12, table, ()) for _ in range(50)} == {"b"}
+    balancer.request_started("a")
+    balancer.request_ended(14, "a", True, 13)
+    assert {balancer.pick(15, table, ()) for _ in range(50)} == {"a", "b"}
