A withdrawal from before a restart is shown, and its readmission is logged

Cause: explain looked at the change number of a withdrawal, which is 0 for one from before the start, so that status said "in full service"; the decision log started without knowing of it and passed over the readmission. Change: membership counts, and the log takes what is restored for logged. Failed before: the new test of test_engine.py ("in full service").

--- a/damsonpick/controller/decision_log.py
+++ b/damsonpick/controller/decision_log.py
@@ -42,6 +42,10 @@
         self.withdrawn: set[str] = set()  # endpoints last logged as withdrawn
         self.levels: tuple[float, ...] = ()  # as last logged
 
+    def restored(self) -> None:
+        """Take what was withdrawn before this start for logged, so that its readmission is."""
+        self.withdrawn = set(self.published.withdrawn)
+
     def write(self, planner: Planner, orders: list[api.Action], changed_entries: int) -> None:
         """Log the orders of one step.
 
--- a/damsonpick/controller/engine.py
+++ b/damsonpick/controller/engine.py
@@ -101,6 +101,7 @@
         """
         now = self.clock.advance_to(now)
         self.persistence.load(ageing.admission_levels_valid(away))
+        self.decision_log.restored()
         self.endpoint_list.restore(self.store.load_endpoint_list())
         self.session_manager.catalogue.refresh(self.published.units())
         self.recorder.start(now)
--- a/damsonpick/controller/explain.py
+++ b/damsonpick/controller/explain.py
@@ -38,7 +38,7 @@
     endpoint = planner.endpoints[name]
     if planner.is_unroutable(name):
         yield f"unroutable: the endpoint list says {endpoint.state}"
-    elif published.withdrawn.get(name):
+    elif name in published.withdrawn:  # its change number is 0 if it was withdrawn before this start
         yield "withdrawn: not all tables have dropped it yet"
     warm_up_share = planner.warm_up_share(endpoint)
     if warm_up_share < 1:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -224,3 +224,17 @@
         assert json.dumps(pilot.log("planner_failed")[0]["events"])
     finally:
         pilot.stop()
+
+
+def test_a_withdrawal_from_before_a_restart_is_shown_and_its_readmission_logged(tmp_path):
+    """The endpoint was shown as in full service, and its readmission was not logged."""
+    world = World(tmp_path)
+    world.published.apply([api.SetWithdrawn("127.0.0.1:9002", True)])
+    world.engine.persistence.save(world.now)
+    again = World(tmp_path)
+    assert "127.0.0.1:9002" in again.published.withdrawn
+    again.engine.step(again.now)
+    rows = {row["endpoint"]: row["why"] for row in again.engine.view()}
+    assert rows["127.0.0.1:9002"].startswith("withdrawn")
+    again.engine.decision_log.write(again.engine.planner, [api.SetWithdrawn("127.0.0.1:9002", False)], 1)
+    assert [entry["endpoint"] for entry in again.events("endpoint_readmitted")] == ["127.0.0.1:9002"]
