What cannot be opened at the start is named: address, control socket or port file

Cause: any OSError of the start read as an xDS address that cannot be opened, and one inside the task group ended with a traceback and exit code 1. Change: each of the three has an error of its own with its remedy; exit code 2. The proxy's port file likewise. Failed before: a state folder too long for a socket and a port file in no folder (tracebacks).

--- a/damsonpick/cli/pilot.py
+++ b/damsonpick/cli/pilot.py
@@ -23,6 +23,8 @@
 
 if TYPE_CHECKING:
     from damsonpick.controller.control_socket import Reply
+    from damsonpick.controller.daemon import Pilot
+    from damsonpick.runtime.port_files import PortFileError
     from damsonpick.settings import PilotSettings
 
 
@@ -65,10 +67,11 @@
         port_file: where the xDS port is written; the SASP port goes beside it, with the suffix `.sasp`.
         parts: factories handed to `Pilot` as they are.
     """
-    from damsonpick.controller.daemon import Pilot
+    from damsonpick.controller.control_socket import ControlListenError
+    from damsonpick.controller.daemon import Pilot, XdsListenError
     from damsonpick.protocols.sasp.errors import ListenError
-    from damsonpick.runtime import port_files
     from damsonpick.runtime.logs import configure
+    from damsonpick.runtime.port_files import PortFileError
     from damsonpick.state.learned.errors import LockError
     from damsonpick.state.store.errors import StoreError
 
@@ -78,21 +81,30 @@
         pilot = Pilot(settings, log, **parts)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with pilot.running():
-                port_files.write(port_file, pilot.ports.xds)
-                if port_file is not None and settings.sasp.listen is not None:
-                    port_files.write(port_file.with_suffix(".sasp"), pilot.ports.sasp)
-                async for _ in signals:
-                    break
+                problem = _write_port_files(pilot, port_file)
+                if problem is None:
+                    async for _ in signals:
+                        break
+        if problem is not None:
+            raise problem
 
     try:
         anyio.run(serve_until_signal)
-    except (StoreError, LockError, ListenError) as error:
+    except (StoreError, LockError, ListenError, XdsListenError, ControlListenError, PortFileError) as error:
         fail(str(error), EXIT_WRONG_INPUT)
-    except (RuntimeError, OSError) as error:
-        fail(
-            f"[listen] xds = {settings.listen.xds}: cannot be opened ({error}); free the port or choose another",
-            EXIT_WRONG_INPUT,
-        )
+
+
+def _write_port_files(pilot: Pilot, port_file: Path | None) -> PortFileError | None:
+    """Write the ports; returns what went wrong, so that the pilot ends in order first."""
+    from damsonpick.runtime import port_files
+
+    try:
+        port_files.write(port_file, pilot.ports.xds)
+        if port_file is not None and pilot.ports.sasp:
+            port_files.write(port_file.with_suffix(".sasp"), pilot.ports.sasp)
+    except port_files.PortFileError as error:
+        return error
+    return None
 
 
 @click.command()
--- a/damsonpick/cli/proxy.py
+++ b/damsonpick/cli/proxy.py
@@ -22,13 +22,14 @@
     from damsonpick.proxy import program
     from damsonpick.proxy.settings import load
     from damsonpick.runtime.logs import configure
+    from damsonpick.runtime.port_files import PortFileError
     from damsonpick.settings.problems import SettingsError
 
     try:
         settings = load(file)
         log = configure(log_format, "info")
         anyio.run(program.serve, settings, log, port_file, backend_options={"use_uvloop": True})
-    except SettingsError as error:
+    except (SettingsError, PortFileError) as error:
         fail(str(error), EXIT_WRONG_INPUT)
     except OSError as error:
         fail(f"[proxy] listen: cannot be opened ({error}); free the port or choose another", EXIT_WRONG_INPUT)
--- a/damsonpick/controller/control_socket.py
+++ b/damsonpick/controller/control_socket.py
@@ -9,7 +9,7 @@
 
 import anyio
 import msgspec
-from anyio.abc import SocketStream
+from anyio.abc import SocketListener, SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 from structlog.typing import FilteringBoundLogger
 
@@ -40,6 +40,14 @@
         self.path = path
 
 
+class ControlListenError(ControlError):
+    """The control socket cannot be opened."""
+
+    def __init__(self, path: Path, cause: OSError) -> None:
+        """Name the socket and what the operating system says."""
+        super().__init__(path, f"the control socket cannot be opened ({cause}); name another folder in [pilot] state")
+
+
 class NoPilotError(ControlError):
     """Nobody listens on the socket."""
 
@@ -73,19 +81,30 @@
         super().__init__("a request is a JSON object")
 
 
+async def listen(path: Path) -> SocketListener:
+    """Open the control socket. One left by a killed pilot is replaced.
+
+    Raises:
+        ControlListenError: it cannot be opened there.
+    """
+    try:
+        path.unlink(missing_ok=True)
+        return await anyio.create_unix_listener(path, mode=OWNER_ONLY)
+    except OSError as error:
+        raise ControlListenError(path, error) from None
+
+
 async def serve(
-    path: Path, answer: Callable[[Request], Reply], ready: Callable[[], None], log: FilteringBoundLogger
+    listener: SocketListener, path: Path, answer: Callable[[Request], Reply], log: FilteringBoundLogger
 ) -> None:
-    """Answer requests until cancelled. A socket left by a killed pilot is replaced.
+    """Answer requests until cancelled, and remove the socket.
 
     Args:
-        path: where to listen.
+        listener: as `listen` has opened it.
+        path: of the socket.
         answer: gives the reply to one request; ValueError and KeyError become an `error` reply.
-        ready: called once the socket listens.
         log: for a client that ends with a fault of the program; the others and the program go on.
     """
-    path.unlink(missing_ok=True)
-    listener = await anyio.create_unix_listener(path, mode=OWNER_ONLY)
 
     async def serve_client(stream: SocketStream) -> None:
         async with stream:
@@ -98,7 +117,6 @@
             except CLIENT_GONE:
                 return
 
-    ready()
     try:
         async with listener, anyio.create_task_group() as group:
             await ConnectionServer("control socket", serve_client, log).serve(listener, group)
--- a/damsonpick/controller/daemon.py
+++ b/damsonpick/controller/daemon.py
@@ -6,7 +6,8 @@
 from contextlib import asynccontextmanager
 
 import anyio
-from anyio.abc import TaskGroup, TaskStatus
+import grpc
+from anyio.abc import TaskGroup
 from structlog.typing import FilteringBoundLogger
 
 from damsonpick.controller import control_socket
@@ -23,6 +24,17 @@
 XDS_STOP_GRACE_S = 0.2  # wall time that open streams have to end
 
 
+class XdsListenError(Exception):
+    """The xDS address cannot be opened."""
+
+    def __init__(self, address: str, cause: Exception) -> None:
+        """Name the address and what the operating system says."""
+        super().__init__(
+            f"[listen] xds = {address}: cannot be opened ({cause}); free the port or choose another address"
+        )
+        self.address = address
+
+
 class Pilot:
     """One pilot, from settings to open sockets.
 
@@ -63,15 +75,15 @@
 
         Raises:
             ListenError: the SASP address cannot be opened.
-            RuntimeError: the xDS address cannot be opened.
+            XdsListenError: the xDS address cannot be opened.
+            ControlListenError: the control socket cannot be opened.
         """
         components = self.components
         self._restore()
         if components.sasp is not None:
             await components.sasp.open()
             self.ports.sasp = components.sasp.port
-        listen = self.settings.listen
-        xds_server, self.ports.xds = await components.xds.start(listen.xds, listen.largest_request)
+        xds_server = await self._open_xds()
         self.log.info(
             "pilot_started",
             name=self.settings.pilot.name,
@@ -81,8 +93,11 @@
             endpoints=len(components.endpoint_list.entries),
         )
         try:
+            control = await control_socket.listen(self.settings.control_path())
             async with anyio.create_task_group() as group:
-                await group.start(self._serve_control_socket)
+                group.start_soon(
+                    control_socket.serve, control, self.settings.control_path(), components.queries.answer, self.log
+                )
                 self._start_tasks(group)
                 yield group
                 group.cancel_scope.cancel()
@@ -127,6 +142,10 @@
         if components.sasp is not None:
             group.start_soon(components.sasp.run)
 
-    async def _serve_control_socket(self, *, task_status: TaskStatus[None]) -> None:
-        answer = self.components.queries.answer
-        await control_socket.serve(self.settings.control_path(), answer, task_status.started, self.log)
+    async def _open_xds(self) -> grpc.aio.Server:
+        listen = self.settings.listen
+        try:
+            xds_server, self.ports.xds = await self.components.xds.start(listen.xds, listen.largest_request)
+        except (RuntimeError, OSError) as error:  # gRPC raises a RuntimeError for an address that is in use
+            raise XdsListenError(listen.xds, error) from None
+        return xds_server
--- a/damsonpick/proxy/program.py
+++ b/damsonpick/proxy/program.py
@@ -167,13 +167,24 @@
 
 
 async def serve(settings: ProxySettings, log: Any, port_file: Path | None) -> None:
-    """Run until SIGTERM or SIGINT, then drain."""
+    """Run until SIGTERM or SIGINT, then drain.
+
+    Raises:
+        PortFileError: the port file cannot be written.
+        OSError: the address cannot be opened.
+    """
+    problem: port_files.PortFileError | None = None
     proxy = Proxy(settings, log)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with proxy.running():
-            port_files.write(port_file, proxy.port)
-            async for _ in signals:
-                break
+            try:
+                port_files.write(port_file, proxy.port)
+                async for _ in signals:
+                    break
+            except port_files.PortFileError as error:
+                problem = error
             log.info("proxy_drains", clients=proxy.requests.clients)
             await proxy.drain()
             proxy.save()
+    if problem is not None:
+        raise problem
--- a/tests/test_control_socket.py
+++ b/tests/test_control_socket.py
@@ -12,7 +12,7 @@
 import pytest
 
 from damsonpick.controller import control_socket
-from tests.pilots import until
+from tests.pilots import SETTINGS, until
 
 
 def command(*words: str) -> subprocess.CompletedProcess:
@@ -73,3 +73,32 @@
     pilot.stop()
     done = command("learned", "forget", str(pilot.file))
     assert done.returncode == 0 and "forgotten: " in done.stdout and not snapshots()
+
+
+def started_on(folder, change: str = "", port_file: str = "port") -> subprocess.CompletedProcess:
+    """Run a pilot that cannot start."""
+    file = folder / "pilot.ini"
+    file.write_text(SETTINGS.format(slices=2, rate=0) + change)
+    (folder / "servers.ini").write_text("")
+    return command("run", str(file), "--port-file", str(folder / port_file))
+
+
+def test_an_address_that_is_taken_is_named(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        done = started_on(tmp_path, f"[listen]\nxds = {address}\n")
+    assert done.returncode == 2 and f"[listen] xds = {address}: cannot be opened" in done.stderr
+
+
+def test_a_state_folder_whose_name_is_too_long_for_a_socket_is_named(tmp_path):
+    """It ended with a traceback, or as an address that cannot be opened."""
+    folder = tmp_path / ("x" * 120)
+    folder.mkdir()
+    done = started_on(folder)
+    assert done.returncode == 2 and "the control socket cannot be opened" in done.stderr
+    assert "Traceback" not in done.stderr and "[listen]" not in done.stderr
+
+
+def test_a_port_file_that_cannot_be_written_is_named(tmp_path):
+    done = started_on(tmp_path, port_file="nowhere/port")
+    assert done.returncode == 2 and "the port file cannot be written" in done.stderr
