The load tool ends a HEAD response with its head and uses no closed connection

Cause: the parser was not told of HEAD and waited for the stated body until the timeout; a pooled connection that the target had closed since was used and counted as cut. Change: HEAD ends with its head; an idle connection is looked at before use. Failed before: the new test of test_load_tool.py (all cut).

--- a/damsonpick/load_tool/player.py
+++ b/damsonpick/load_tool/player.py
@@ -11,17 +11,28 @@
 
 from damsonpick.load_tool.experiment import SECOND_NS, Arrival, Experiment, RequestClass, arrivals
 from damsonpick.load_tool.results import ClassResults, report
+from damsonpick.runtime import sockets
 
 READ_BYTES = 262_144
 MICROSECOND_NS = 1_000
 
 
 class ResponseReader:
-    """Reads one response to its end."""
+    """Reads one response to its end.
 
-    def __init__(self) -> None:
+    Args:
+        method: of the request; the response to HEAD ends with its head, whatever length it states.
+    """
+
+    def __init__(self, method: str) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.done = False
+        self._ends_with_head = method == "HEAD"
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser."""
+        if self._ends_with_head:
+            self.on_message_complete()
 
     def on_message_complete(self) -> None:
         """Called by the parser; interim (1xx) responses are passed over."""
@@ -80,13 +91,13 @@
 
     async def _exchange(self, arrival: Arrival, spec: RequestClass) -> str:
         """Send one request and read its response; returns the status, or how it failed."""
-        connection = self.idle_connections.pop() if self.idle_connections else None
+        connection = await self._take_idle()
         reusable = False
         try:
             if connection is None:
                 connection = await anyio.connect_tcp(self.host.strip("[]"), self.port)
             await connection.send(self._request_bytes(arrival, spec))
-            response = ResponseReader()
+            response = ResponseReader(spec.method)
             while not response.done:
                 response.parser.feed_data(await connection.receive(READ_BYTES))
             reusable = response.parser.should_keep_alive()
@@ -102,6 +113,15 @@
                 with anyio.CancelScope(shield=True):
                     await anyio.aclose_forcefully(connection)
 
+    async def _take_idle(self) -> SocketStream | None:
+        """A connection that is still open; those that the target has closed since are closed here too."""
+        while self.idle_connections:
+            connection = self.idle_connections.pop()
+            if sockets.idle(connection):
+                return connection
+            await anyio.aclose_forcefully(connection)
+        return None
+
     def _request_bytes(self, arrival: Arrival, spec: RequestClass) -> bytes:
         length = f"content-length: {spec.body}\r\n" if spec.body else ""
         lines = (
--- a/tests/test_load_tool.py
+++ b/tests/test_load_tool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from itertools import pairwise
 
 import anyio
 import pytest
@@ -76,3 +77,28 @@
     earlier.write_text("{}")
     with pytest.raises(ValueError, match="is no results file"):
         results.compare(report, earlier)
+
+
+@pytest.mark.anyio
+async def test_a_response_to_head_ends_with_its_head_and_closed_connections_are_not_used_again(tmp_path):
+    """HEAD waited for a body until its timeout; a connection that the target had closed counted as cut."""
+
+    async def serve(stream):
+        async with stream:
+            head = b""
+            while not head.endswith(b"\r\n\r\n"):
+                head += await stream.receive()
+            await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n")
+            # and closes without a word, long before the next request
+
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        path = tmp_path / "experiment.ini"
+        text = EXPERIMENT.format(port=port, warm_up="100 ms").replace("rate = 200", "rate = 12")
+        path.write_text(text.replace("share = 3\n", "share = 3\nmethod = HEAD\n").partition("[class write]")[0])
+        due_ns = [arrival.due_ns for arrival in arrivals(read(path))]
+        assert min(after - before for before, after in pairwise(due_ns)) > 5_000_000
+        figures = (await Player(read(path)).run())["classes"]["page"]
+        group.cancel_scope.cancel()
+    assert figures["ends"].keys() == {"200"}
