--- a/damsonpick/protocols/platform/pilot.py
+++ b/damsonpick/protocols/platform/pilot.py
@@ -33,6 +33,7 @@
 from damsonpick.protocols.platform.registry import Registry
 from damsonpick.protocols.platform.registry_watch import RegistrySynchronizer, RegistryWatchReader
 from damsonpick.protocols.platform.state_log import INTERVAL_S, PilotStatus, write_state
+from damsonpick.protocols.platform.stored_state import tables_digest
 from damsonpick.protocols.platform.watch_client import WatchClient
 from damsonpick.runtime.clock import Clock
 
@@ -91,7 +92,13 @@
                 group.cancel_scope.cancel()
         for number in SIGNALS:  # without the receiver, a second signal would end the process by its default action
             signal.signal(number, signal.SIG_IGN)
-        self._log.info("pilot_ended", name=self._config.name)
+        self._log.info(
+            "pilot_ended",
+            name=self._config.name,
+            slices=len(self.registry.tables),
+            pending_orders=self.registry.pending.key_count(),
+            tables_digest=tables_digest(self.registry.tables),
+        )
 
     # -- composition
 
--- a/damsonpick/protocols/platform/stored_state.py
+++ b/damsonpick/protocols/platform/stored_state.py
@@ -2,12 +2,25 @@
 
 from __future__ import annotations
 
+import json
+import zlib
+from collections.abc import Mapping
+
 from damsonpick import interface as api
 
 TableEntries = dict[str, float]  # weight by endpoint
 AdmissionLevels = dict[int, float]  # by index of the request class
 
 
+def tables_digest(tables: Mapping[int, TableEntries]) -> int:
+    """Return a checksum of all entries, to compare what two programs take for stored.
+
+    Weights count with the six digits that they have on the wire.
+    """
+    entries = sorted((number, name, f"{weight:.6g}") for number, t in tables.items() for name, weight in t.items())
+    return zlib.crc32(json.dumps([sorted(tables), entries]).encode())
+
+
 def apply_entry(entries: TableEntries, order: api.SetEntry) -> None:
     """Apply an order to the entries of its table; a weight of 0 removes the entry."""
     if order.weight > 0:
--- a/damsonpick/testing/fakes/discovery.py
+++ b/damsonpick/testing/fakes/discovery.py
@@ -77,6 +77,11 @@
             self.servers[name] = entry
         await self.send_line(self._message(False, [entry]))
 
+    async def send_entries(self, entries: list[Entry]) -> None:
+        """Report entries on the watches as they are, under a version of their own; the list does not change."""
+        self.version += 1
+        await self.send_line(self._message(False, entries))
+
     async def serve(self, request: faulty_http.Request, stream: SocketStream) -> bool:
         """Answer with the list, or open a watch; returns whether the connection stays open."""
         self.requested_targets.append(request.target)
