A pin that caps levels lets cuts for all classes and unchanged levels pass

Cause: an action for all classes names none, and "all of none" counted as a rise: a cut in an overload would have been held back while pinned; so was a level that stays as it is. Change: the classes are counted out, and what only raises is held back.

--- a/damsonpick/controller/table_pin.py
+++ b/damsonpick/controller/table_pin.py
@@ -95,7 +95,7 @@
         if not self.applied:
             return orders
         filtered = self.recorder.pin.filter_actions(
-            orders, self.published.tables, may_not_be_picked, self.published.level
+            orders, self.published.tables, may_not_be_picked, self.published.level, len(self.published.classes)
         )
         self.withheld_orders = filtered.held_back_count
         return filtered.passed
--- a/damsonpick/state/history/pin.py
+++ b/damsonpick/state/history/pin.py
@@ -73,6 +73,7 @@
         tables: Mapping[int, Mapping[str, float]],
         is_unroutable: Callable[[str], bool],
         admitted_share: Callable[[int | None, int], float],
+        class_count: int = 0,
     ) -> FilteredActions:
         """Separate actions that flow while pinned from those that are held back.
 
@@ -81,6 +82,7 @@
             tables: the published weights, by slice and endpoint; not changed.
             is_unroutable: whether requests may not be sent to an endpoint now.
             admitted_share: admitted now, 0 to 1, by table (None: the fleet's) and class index.
+            class_count: of the request classes, for an action that is for all of them.
         """
         passed: list[api.Action] = []
         held_back_count = 0
@@ -92,20 +94,25 @@
                 if flows:
                     _apply(action, entries)
             else:
-                flows = not self._holds_back(action, admitted_share)
+                flows = not self._holds_back(action, admitted_share, class_count)
             if flows:
                 passed.append(action)
             else:
                 held_back_count += 1
         return FilteredActions(passed, held_back_count)
 
-    def _holds_back(self, action: api.Action, admitted_share: Callable[[int | None, int], float]) -> bool:
-        """Whether an action other than of an entry must wait: one that clears a table, or raises capped levels."""
+    def _holds_back(
+        self, action: api.Action, admitted_share: Callable[[int | None, int], float], class_count: int
+    ) -> bool:
+        """Whether an action other than of an entry must wait: one that clears a table, or only raises capped levels."""
         if isinstance(action, api.ClearTable):
             return True
         if not (self.caps_levels and isinstance(action, api.SetAdmission)):
             return False
-        return all(action.level >= admitted_share(action.table, class_index) for class_index in action.classes)
+        shares = [admitted_share(action.table, index) for index in action.classes or range(class_count)]
+        lowers_any = any(action.level < share for share in shares)
+        raises_any = any(action.level > share for share in shares)
+        return raises_any and not lowers_any
 
 
 def _is_needed(action: api.SetEntry, entries: Mapping[str, float], is_unroutable: Callable[[str], bool]) -> bool:
--- a/tests/test_history_rollback.py
+++ b/tests/test_history_rollback.py
@@ -111,3 +111,18 @@
         [lower, higher],
         0,
     )
+
+
+def test_a_pin_that_caps_levels_lets_cuts_for_all_classes_and_unchanged_levels_pass():
+    """A cut for all classes was held back in an overload, and so was a level that stays as it is."""
+    published = PublishedTables(("page", "tally"), 2)
+    published.apply([api.SetAdmission(None, (0, 1), 0.5, 1)])
+    pin = Pin()
+    pin.set(3, 100, caps_levels=True)
+    cut, same = api.SetAdmission(None, (), 0.3, 1), api.SetAdmission(None, (0,), 0.5, 0)
+    rise = api.SetAdmission(None, (), 0.9, 1)
+    passed, held_back = pin.filter_actions([cut, same, rise], published.tables, lambda n: False, published.level, 2)
+    assert passed == [cut, same] and held_back == 1
+    published.apply([api.SetAdmission(None, (1,), 0.2, 1)])
+    mixed = api.SetAdmission(None, (0, 1), 0.3, 1)  # a cut for one class, and a rise for the other
+    assert pin.filter_actions([mixed], published.tables, lambda n: False, published.level, 2) == ([mixed], 0)
