An attempt of the proxy takes the time that the control service publishes

Cause: the pilot publishes per_try_timeout from its setting try_aims, and the proxy did not read it: an attempt took 1.2 objectives of the proxy's own settings. Change: the published time counts, the proxy's own where none is published. The proxy no longer names itself a stand-in to its pilot. Failed before: three cases in test_proxy_retry_policy.py (0.6 s in place of 1.8, 0.75 and 3.0). After: 94 passed with test_proxy_parts.py.

--- a/damsonpick/proxy/ads_client.py
+++ b/damsonpick/proxy/ads_client.py
@@ -16,7 +16,7 @@
 from damsonpick.proxy.received_state import ReceivedState
 from damsonpick.state.history import root_statement
 
-USER_AGENT = "damsonpick stand-in gateway"
+USER_AGENT = "damsonpick proxy"
 WILDCARD = "*"
 INVALID_ARGUMENT_CODE = 3  # the gRPC status of a NACK
 
--- a/damsonpick/proxy/received_resources.py
+++ b/damsonpick/proxy/received_resources.py
@@ -94,6 +94,8 @@
     request_class = headers.get(CLASS_HEADER, "")
     cluster = headers.get(CLUSTER_HEADER, "") or route.route.cluster
     policy = route.route.retry_policy
-    routes.retries[request_class, cluster] = PublishedRetries(policy.retry_on, policy.num_retries.value)
+    routes.retries[request_class, cluster] = PublishedRetries(
+        policy.retry_on, policy.num_retries.value, policy.per_try_timeout.ToNanoseconds()
+    )
     if ZONE_HEADER in headers:
         routes.clusters[request_class, headers[ZONE_HEADER]] = cluster
--- a/damsonpick/proxy/router.py
+++ b/damsonpick/proxy/router.py
@@ -30,7 +30,8 @@
 FLEET_CLUSTER = "fleet"  # its entries are the withdrawn servers
 POLICY_BY_XDS_NUMBER = {0: Policy.ROUND_ROBIN, 1: Policy.POWER_OF_TWO, 3: Policy.RANDOM}  # Cluster.LbPolicy
 DEFAULT_XDS_POLICY = 1
-ATTEMPT_TIMEOUT_OBJECTIVES = 1.2  # latency objectives that an attempt may take where a retry may follow
+# Latency objectives that an attempt may take where a retry may follow and the control service publishes no time.
+ATTEMPT_TIMEOUT_OBJECTIVES = 1.2
 EMPTY_TABLE = WeightedTable({})
 
 
@@ -175,6 +176,7 @@
         published = self._published_retries(request)
         objective_ns = self.settings.classes[request.request_class].aim
         retryable = published.limit and ON_ANY_FAILURE in published.conditions and request.effect != NON_IDEMPOTENT
-        if retryable and objective_ns:
-            return min(left_ns, int(ATTEMPT_TIMEOUT_OBJECTIVES * objective_ns))
-        return left_ns
+        if not retryable:
+            return left_ns
+        own_timeout_ns = int(ATTEMPT_TIMEOUT_OBJECTIVES * objective_ns)
+        return min(left_ns, published.attempt_timeout or own_timeout_ns or left_ns)
--- a/tests/test_proxy_retry_policy.py
+++ b/tests/test_proxy_retry_policy.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
+from damsonpick import interface as api
+from damsonpick.protocols.xds.route_builder import RouteBuilder
+from damsonpick.proxy.received_resources import parse_routes
 from damsonpick.proxy.retry_policy import Execution, PublishedRetries, RetryBudget, allows_retry
+from damsonpick.proxy.router import Router
+from damsonpick.proxy.settings import Own, ProxySettings, RequestClass
+from damsonpick.settings import load
+from damsonpick.state.published_tables import PublishedTables
+from tests.pilots import SETTINGS
 
 SECOND = 1_000_000_000
 
@@ -37,3 +47,22 @@
         budget.earn()
         made += budget.spend()
     assert 200 <= made <= 211
+
+
+@pytest.mark.parametrize("try_aims", [1.2, 0.5, 2.0])
+def test_an_attempt_takes_the_time_that_the_control_service_publishes(try_aims, tmp_path):
+    """It took 1.2 objectives whatever `try_aims` said."""
+    file = tmp_path / "pilot.ini"
+    file.write_text(SETTINGS.format(slices=2, rate=0).replace("slices = 2", f"slices = 2\ntry_aims = {try_aims}"))
+    settings = load(file)
+    published = PublishedTables(tuple(settings.classes), 2)
+    published.apply([api.SetAdmission(None, (0, 1), 1.0, 2)])
+    body = RouteBuilder(published, settings).build().SerializeToString()
+    classes = {"page": RequestClass(deadline=4 * SECOND, aim=SECOND // 2)}
+    router = Router(ProxySettings(proxy=Own(name="p", zone="a", slices=2), classes=classes), random.Random(1))
+    router.received_state.retries, _ = parse_routes(body)
+    request = router.classify(0, "page", "k", "c", "slice/1", None)
+    page_objective_s = settings.classes["page"].latency_objective / SECOND
+    assert router.attempt_timeout(request, 0) / SECOND == pytest.approx(try_aims * page_objective_s)
+    router.received_state.retries = {("page", "slice/1"): PublishedRetries("5xx", 1)}
+    assert router.attempt_timeout(request, 0) / SECOND == pytest.approx(1.2 * 0.5), "none is published"
