Fake gateways: typed requests, endings and outcomes, whole names

Need: serve gave a bare tuple and endings as text compared in four modules; rid, kind, how, wire, _took, _said, _sums needed explaining. Change: RequestOutcome, Ending, ForwardedRequest; one method a step. Texts in records and reports are the same.

--- a/damsonpick/testing/fakes/balancer.py
+++ b/damsonpick/testing/fakes/balancer.py
@@ -70,12 +70,12 @@
                 up = True
                 self.record.put("stream", gw=self.name, up=True, zone=self.zone, fresh=not self.seen)
                 self.seen = True
-                await self._took(first)
+                await self._apply_advice(first)
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._poll, client)
                     group.start_soon(self._until_lost, client, group.cancel_scope)
                     async for push in receive:
-                        await self._took(push.groups)
+                        await self._apply_advice(push.groups)
         finally:
             if up:
                 self.record.put("stream", gw=self.name, up=False)
@@ -97,7 +97,7 @@
         """Ask again when advised to: what a push left out as noise comes this way."""
         while True:
             reply = await client.weights()
-            await self._took(reply.groups)
+            await self._apply_advice(reply.groups)
             await anyio.sleep(max(1, reply.interval) / self.clock.rate)
 
     async def _until_lost(self, client: Client, scope: anyio.CancelScope) -> None:
@@ -105,7 +105,7 @@
             await anyio.sleep(0.05)
         scope.cancel()
 
-    async def _took(self, groups: tuple[WeightsOf, ...]) -> None:
+    async def _apply_advice(self, groups: tuple[WeightsOf, ...]) -> None:
         """Advice in force, after whatever holds this balancer up."""
         if (wait := self.clock.seconds(max(self.stalled_until - self.clock.now(), 0) + self.read_delay)) > 0:
             await anyio.sleep(wait)
--- a/damsonpick/testing/fakes/gateway.py
+++ b/damsonpick/testing/fakes/gateway.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 import structlog
@@ -16,12 +16,15 @@
 from damsonpick.runtime.backoff import Backoff
 from damsonpick.testing.fakes import http
 from damsonpick.testing.fakes.gateway_context import GatewayContext, TrafficClass
+from damsonpick.testing.fakes.request_outcome import Ending, RequestOutcome, ended, status_ending
 from damsonpick.testing.fakes.server_picker import ServerPicker
 
 TABLE_WAIT_NS = 500_000_000  # that a request waits for a table with an entry
 CONNECT_TIMEOUT_NS = 400_000_000
 RETRY_ON_CONNECT_FAILURE = "connect-failure"
 RETRY_ON_ANY_FAILURE = "5xx"
+NOT_RUN_HEADER = "x-not-run"
+NS_PER_MS = 1e6
 NO_LOG = structlog.wrap_logger(None, processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)])
 
 
@@ -47,6 +50,33 @@
     return [address] if address else []
 
 
+class ForwardedRequest(NamedTuple):
+    """A request that a gateway has admitted.
+
+    Attributes:
+        request_id: names it in the records.
+        traffic_class: its class.
+        cluster: whose table it goes by.
+        work_ms: ms that it takes at mean speed.
+        deadline: of all its attempts, ns.
+    """
+
+    request_id: str
+    traffic_class: TrafficClass
+    cluster: str
+    work_ms: float
+    deadline: int
+
+    def headers(self) -> dict[str, str]:
+        """What a results server reads of it."""
+        return {
+            "x-request-id": self.request_id,
+            "x-damson-class": self.traffic_class.name,
+            "x-work-ms": f"{self.work_ms:.1f}",
+            "x-slice": str(slice_of(self.cluster)),
+        }
+
+
 class FakeGateway:
     """One gateway.
 
@@ -86,9 +116,9 @@
         self.stalled_until = self.read_delay = 0  # ns
         callbacks = WatchCallbacks(
             addresses=lambda: known_addresses(pilot_address),
-            resources_applied=self._took,
-            take_counts=self._sums,
-            record=self._said,
+            resources_applied=self._resources_applied,
+            take_counts=self._take_counts,
+            record=self._record_event,
             may_connect=lambda: network.reaches_pilot(name, zone),
             read_pause=lambda: clock.seconds(max(self.stalled_until - clock.now(), 0) + self.read_delay),
         )
@@ -110,15 +140,15 @@
         """Keep a stream to the pilot, for ever."""
         await self.watch_client.run()
 
-    def _took(self, kind: str, resources: list, removed: list[str]) -> None:
+    def _resources_applied(self, type_url: str, resources: list, removed: list[str]) -> None:
         self.changed.set()
         self.changed = anyio.Event()
 
-    def _sums(self) -> dict[int, load_stats.SliceCounts]:
-        found, self.counts = self.counts, {}
-        return found
+    def _take_counts(self) -> dict[int, load_stats.SliceCounts]:
+        counts, self.counts = self.counts, {}
+        return counts
 
-    def _said(self, event: str, **details: Any) -> None:
+    def _record_event(self, event: str, **details: Any) -> None:
         if event == "got":
             details = response_details(
                 self.received_state,
@@ -137,103 +167,109 @@
 
     # Requests
 
-    async def serve(self, rid: str, kind: TrafficClass, cluster: str, work: float) -> tuple[bool, str]:
-        """Forward one request; returns whether it was answered, and how it ended."""
+    async def serve(self, request_id: str, traffic_class: TrafficClass, cluster: str, work_ms: float) -> RequestOutcome:
+        """Forward one request.
+
+        Args:
+            request_id: names the request in the records.
+            traffic_class: its class.
+            cluster: whose table it goes by.
+            work_ms: ms that it takes at mean speed.
+        """
         start = self.clock.now()
         counts = self.counts.setdefault(slice_of(cluster), load_stats.SliceCounts())
-        if self.rng.random() >= self.received_state.admission_level(cluster, kind.name):
-            counts.count_dropped(kind.name)
-            return False, "refused"
-        counts.count_admitted(kind.name)
+        if self.rng.random() >= self.received_state.admission_level(cluster, traffic_class.name):
+            counts.count_dropped(traffic_class.name)
+            return ended(Ending.REFUSED)
+        counts.count_admitted(traffic_class.name)
         await self._stand_still()
-        good, how = await self._tries(rid, kind, cluster, work, start + kind.deadline)
-        if not good:
+        forwarded = ForwardedRequest(request_id, traffic_class, cluster, work_ms, start + traffic_class.deadline)
+        outcome = ended(await self._attempt_until_answered(forwarded))
+        if not outcome.answered:
             counts = self.counts.setdefault(slice_of(cluster), load_stats.SliceCounts())
-            counts.count_failed(kind.name)
-        return good, how
-
-    async def _tries(self, rid: str, kind: TrafficClass, cluster: str, work: float, end: int) -> tuple[bool, str]:
-        tried: set[str] = set()
-        most = self.received_state.retries_of(cluster, kind.name).limit
-        how = "no server"
-        for number in range(most + 1):
-            server = await self._choose(cluster, tried, end, number)
+            counts.count_failed(traffic_class.name)
+        return outcome
+
+    async def _attempt_until_answered(self, request: ForwardedRequest) -> str:
+        """Make attempts as the published retries allow; returns how the last one ended."""
+        attempted: set[str] = set()
+        retries = self.received_state.retries_of(request.cluster, request.traffic_class.name)
+        ending: str = Ending.NO_SERVER
+        for number in range(retries.limit + 1):
+            server = await self._choose(request, attempted, may_wait=number == 0)
             if server is None:
-                return False, how
-            tried.add(server)
-            how = await self._try(rid, kind, cluster, server, work, end)
-            if how == "ok":
-                return True, how
-            conditions = self.received_state.retries_of(cluster, kind.name).conditions
-            if not (
-                (how == "never ran" and RETRY_ON_CONNECT_FAILURE in conditions) or RETRY_ON_ANY_FAILURE in conditions
-            ):
-                return False, how
-        return False, how
-
-    async def _choose(self, cluster: str, tried: set[str], end: int, number: int) -> str | None:
-        """A server; the first try waits a little for a table with a line, then is given up."""
-        until = min(end, self.clock.now() + TABLE_WAIT_NS) if number == 0 else 0
+                return ending
+            attempted.add(server)
+            ending = await self._attempt(request, server)
+            if ending == Ending.ANSWERED or not self._may_retry(request, ending):
+                return ending
+        return ending
+
+    def _may_retry(self, request: ForwardedRequest, ending: str) -> bool:
+        conditions = self.received_state.retries_of(request.cluster, request.traffic_class.name).conditions
+        if ending == Ending.NEVER_RAN and RETRY_ON_CONNECT_FAILURE in conditions:
+            return True
+        return RETRY_ON_ANY_FAILURE in conditions
+
+    async def _choose(self, request: ForwardedRequest, attempted: set[str], may_wait: bool) -> str | None:
+        """A server; the first attempt waits a little for a table with an entry, then is given up."""
+        until = min(request.deadline, self.clock.now() + TABLE_WAIT_NS) if may_wait else 0
         while True:
-            server = self.picker.pick(self.clock.now(), self.received_state.available_entries(cluster), tried)
+            entries = self.received_state.available_entries(request.cluster)
+            server = self.picker.pick(self.clock.now(), entries, attempted)
             left = until - self.clock.now()
             if server is not None or left <= 0:
                 return server
             with anyio.move_on_after(self.clock.seconds(left)):
                 await self.changed.wait()
 
-    async def _try(self, rid: str, kind: TrafficClass, cluster: str, server: str, work: float, end: int) -> str:
+    async def _attempt(self, request: ForwardedRequest, server: str) -> str:
+        """One attempt, counted and recorded; returns how it ended."""
         start = self.clock.now()
-        entry = self.received_state.available_entries(cluster).get(server)
+        entry = self.received_state.available_entries(request.cluster).get(server)
         zone = entry.zone if entry else ""
-        self.record.put("try", gw=self.name, id=rid, kind=kind.name, slice=slice_of(cluster), server=server)
+        slice_number = slice_of(request.cluster)
+        class_name = request.traffic_class.name
+        self.record.put("try", gw=self.name, id=request.request_id, kind=class_name, slice=slice_number, server=server)
         self.picker.request_sent(server)
-        how = "too late"
-        with anyio.move_on_after(self.clock.seconds(end - start)):
-            how = await self._exchange(rid, kind, cluster, server, zone, work)
-        now, good = self.clock.now(), how == "ok"
-        self.picker.request_ended(now, server, good, self.received_state.ejection_failures)
-        counts = self.counts.setdefault(slice_of(cluster), load_stats.SliceCounts())
-        counts.count_attempt(zone, server, good, (now - start) / 1e6)
-        return how
+        ending: str = Ending.TOO_LATE
+        with anyio.move_on_after(self.clock.seconds(request.deadline - start)):
+            ending = await self._exchange(request, server, zone)
+        now, answered = self.clock.now(), ending == Ending.ANSWERED
+        self.picker.request_ended(now, server, answered, self.received_state.ejection_failures)
+        counts = self.counts.setdefault(slice_number, load_stats.SliceCounts())
+        counts.count_attempt(zone, server, answered, (now - start) / NS_PER_MS)
+        return ending
 
-    async def _exchange(self, rid: str, kind: TrafficClass, cluster: str, server: str, zone: str, work: float) -> str:
+    async def _exchange(self, request: ForwardedRequest, server: str, zone: str) -> str:
+        """Send the request and read the answer; returns how that ended."""
         if zone and not self.network.connects(self.zone, zone):
             await anyio.sleep(self.clock.seconds(CONNECT_TIMEOUT_NS))  # across a cut link nothing answers
-            return "never ran"
-        wire, done = None, False
+            return Ending.NEVER_RAN
+        connection, complete = None, False
         try:
-            wire = await self._wire(server)
-            said = await wire.post(
-                "/",
-                {
-                    "x-request-id": rid,
-                    "x-damson-class": kind.name,
-                    "x-work-ms": f"{work:.1f}",
-                    "x-slice": str(slice_of(cluster)),
-                },
-            )
-            done = True
-            if said.status == 200:
-                return "ok"
-            return "never ran" if "x-not-run" in said.headers else f"status {said.status}"
+            connection = await self._connection(server)
+            answer = await connection.post("/", request.headers())
+            complete = True
+            return Ending.NEVER_RAN if NOT_RUN_HEADER in answer.headers else status_ending(answer.status)
         except http.NotSentError:
-            return "never ran"
+            return Ending.NEVER_RAN
         except http.ConnectionBrokenError:
-            return "broken"
+            return Ending.BROKEN
         finally:
-            if wire is not None:
-                if done and wire.prepare_reuse():
-                    self.pools.setdefault(server, []).append(wire)
+            if connection is not None:
+                if complete and connection.prepare_reuse():
+                    self.pools.setdefault(server, []).append(connection)
                 else:
                     with anyio.CancelScope(shield=True):
-                        await wire.close()
+                        await connection.close()
 
-    async def _wire(self, server: str) -> http.ClientConnection:
+    async def _connection(self, server: str) -> http.ClientConnection:
+        """An idle connection, or a new one."""
         pool = self.pools.get(server)
         while pool:
-            wire = pool.pop()
-            if wire.is_idle():
-                return wire
-            await wire.close()
+            connection = pool.pop()
+            if connection.is_idle():
+                return connection
+            await connection.close()
         return await http.ClientConnection.connect(server, self.clock.seconds(CONNECT_TIMEOUT_NS))
--- a/damsonpick/testing/fakes/proxy_gateway.py
+++ b/damsonpick/testing/fakes/proxy_gateway.py
@@ -14,6 +14,10 @@
 from damsonpick.testing.fakes import http
 from damsonpick.testing.fakes.gateway import NO_LOG, known_addresses, response_details
 from damsonpick.testing.fakes.gateway_context import GatewayContext, TrafficClass
+from damsonpick.testing.fakes.request_outcome import HTTP_OK, Ending, RequestOutcome, ended, status_ending
+
+CONNECT_TIMEOUT_S = 2.0
+CLIENT_PATIENCE_S = 1.0  # beyond the deadline, which the proxy keeps by itself
 
 
 class ProxyGateway:
@@ -40,7 +44,7 @@
                 for c in context.classes.values()
             },
         )
-        self.proxy = Proxy(settings, NO_LOG, self._said, rng.random(), delta)
+        self.proxy = Proxy(settings, NO_LOG, self._record_event, rng.random(), delta)
         callbacks = self.proxy.watch_client.callbacks
         callbacks.addresses = lambda: known_addresses(pilot_address)
         callbacks.may_connect = lambda: network.reaches_pilot(name, zone)
@@ -49,7 +53,7 @@
         self.proxy.requests.stall = lambda: clock.seconds(self.stalled_until - clock.now())
         self.received_state = self.proxy.router.received_state
         self.stalled_until = self.read_delay = 0
-        self.wires: list[http.ClientConnection] = []
+        self.connections: list[http.ClientConnection] = []
 
     @property
     def report_delay(self) -> int:
@@ -63,7 +67,7 @@
     def _pause(self) -> float:
         return self.clock.seconds(max(self.stalled_until - self.clock.now(), 0) + self.read_delay)
 
-    def _said(self, event: str, **details: Any) -> None:
+    def _record_event(self, event: str, **details: Any) -> None:
         if event == "got":
             details = response_details(
                 self.received_state,
@@ -81,41 +85,42 @@
         async with self.proxy.running():
             await anyio.sleep_forever()
 
-    async def serve(self, rid: str, kind: TrafficClass, cluster: str, work: float) -> tuple[bool, str]:
-        """One client's request through the proxy's socket."""
+    async def serve(self, request_id: str, traffic_class: TrafficClass, cluster: str, work_ms: float) -> RequestOutcome:
+        """One client's request through the proxy's socket; arguments as of `FakeGateway`."""
         if not self.proxy.port:
-            return False, "no server"
-        wire = None
+            return ended(Ending.NO_SERVER)
+        headers = {
+            "x-request-id": request_id,
+            "x-damson-class": traffic_class.name,
+            "x-work-ms": f"{work_ms:.1f}",
+            "x-slice": str(slice_of(cluster)),
+            "x-damson-cluster": cluster,
+            "x-client-id": request_id,
+        }
+        connection = None
         try:
-            with anyio.fail_after(self.clock.seconds(kind.deadline) + 1.0):
-                wire = self._idle() or await http.ClientConnection.connect(f"127.0.0.1:{self.proxy.port}", 2.0)
-                said = await wire.post(
-                    "/",
-                    {
-                        "x-request-id": rid,
-                        "x-damson-class": kind.name,
-                        "x-work-ms": f"{work:.1f}",
-                        "x-slice": str(slice_of(cluster)),
-                        "x-damson-cluster": cluster,
-                        "x-client-id": rid,
-                    },
-                )
+            with anyio.fail_after(self.clock.seconds(traffic_class.deadline) + CLIENT_PATIENCE_S):
+                connection = self._idle_connection() or await self._new_connection()
+                answer = await connection.post("/", headers)
         except (http.ConnectionBrokenError, http.NotSentError, TimeoutError) as error:
-            if wire is not None:
+            if connection is not None:
                 with anyio.CancelScope(shield=True):
-                    await wire.close()
-            return False, "too late" if isinstance(error, TimeoutError) else "broken"
-        if wire.prepare_reuse():
-            self.wires.append(wire)
+                    await connection.close()
+            return ended(Ending.TOO_LATE if isinstance(error, TimeoutError) else Ending.BROKEN)
+        if connection.prepare_reuse():
+            self.connections.append(connection)
         else:
-            await wire.close()
-        if said.status == 200:
-            return True, "ok"
-        return False, "refused" if "retry-after" in said.headers else f"status {said.status}"
-
-    def _idle(self) -> http.ClientConnection | None:
-        while self.wires:
-            wire = self.wires.pop()
-            if wire.is_idle():
-                return wire
+            await connection.close()
+        if answer.status != HTTP_OK and "retry-after" in answer.headers:
+            return ended(Ending.REFUSED)
+        return ended(status_ending(answer.status))
+
+    async def _new_connection(self) -> http.ClientConnection:
+        return await http.ClientConnection.connect(f"127.0.0.1:{self.proxy.port}", CONNECT_TIMEOUT_S)
+
+    def _idle_connection(self) -> http.ClientConnection | None:
+        while self.connections:
+            connection = self.connections.pop()
+            if connection.is_idle():
+                return connection
         return None
