--- a/damsonpick/testing/soak/player.py
+++ b/damsonpick/testing/soak/player.py
@@ -13,29 +13,16 @@
 from anyio.abc import TaskGroup
 
 from damsonpick.protocols.platform.stored_state import tables_digest
-from damsonpick.testing.fakes.discovery import FakeDiscovery
-from damsonpick.testing.fakes.registry import FakeRegistry, PartlyApplied, RequestFault
 from damsonpick.testing.soak.clients import ANSWER_GRACE_S, Clients
 from damsonpick.testing.soak.pilot_process import PilotProcess
-from damsonpick.testing.soak.plan import Action, Ending, Life, SoakPlan, Step, draw_plan
+from damsonpick.testing.soak.plan import Ending, Life, SoakPlan, draw_plan
+from damsonpick.testing.soak.platform import ODD_VALUES, ZONES, SoakPlatform
 
-ZONES = ("a", "b")
-SILENCE_S = 2.6  # longer than a watch may be silent
-DOWN_S = 0.5
 SETTLE_TIMEOUT_S = 8.0
 SETTLE_POLL_S = 0.05
 QUIET_S = 1.2  # over which nothing may change at the end: longer than the time between two heartbeats
 PORT_RANGE = 20_000, 32_000  # below the ports of outgoing connections
 MAX_IDLE_DESCRIPTORS = 40  # of a pilot without strangers
-ODD_VALUES = (["Ready"], {"Ready": 1}, None, 7, "", "Odd", [[]], 1e300)
-REQUEST_FAULTS = {
-    Action.ANSWER_LOST: RequestFault.ANSWER_LOST,
-    Action.ANSWER_WITHHELD: RequestFault.ANSWER_WITHHELD,
-    Action.ANSWER_INVALID: RequestFault.ANSWER_INVALID,
-    Action.CONNECTION_CUT: RequestFault.CONNECTION_CUT,
-    Action.BUSY: RequestFault.BUSY,
-    Action.SYNTAX: RequestFault.SYNTAX,
-}
 TERM_SERIES: dict[Ending, tuple[signal.Signals, ...]] = {
     Ending.TERM: (signal.SIGTERM,),
     Ending.TERM_TWICE: (signal.SIGTERM, signal.SIGTERM),
@@ -115,26 +102,22 @@
         self.plan = plan
         self.result = SoakResult(plan.seed)
         self._rng = random.Random(f"{plan.seed} play")
-        names = [f"s{number}" for number in range(plan.servers)]
-        self.discovery = FakeDiscovery(*names)
-        self.registry = FakeRegistry(plan.slices, plan.proxies, ZONES)
         self.pilot = PilotProcess(folder)
+        self.platform = SoakPlatform(plan, self._rng, self._reload)
         self._port = free_port()
-        self._registry_ports: list[int] = []  # of the one registry; the first is in use
         self._discovery_port = 0
-        self._lost: list[int] = []  # slices that another pilot has
         self._group: TaskGroup | None = None
 
     async def play(self) -> SoakResult:
         """Play all lives."""
         async with (
-            self.registry.running() as first_port,
-            self.registry.running() as second_port,
-            self.discovery.running() as self._discovery_port,
+            self.platform.registry.running() as first_port,
+            self.platform.registry.running() as second_port,
+            self.platform.discovery.running() as self._discovery_port,
             anyio.create_task_group() as self._group,
         ):
-            self._registry_ports = [first_port, second_port]
-            clients = Clients(self._port, ZONES, lambda: list(self.discovery.servers), self._rng)
+            self.platform.registry_ports = [first_port, second_port]
+            clients = Clients(self._port, ZONES, lambda: list(self.platform.discovery.servers), self._rng)
             self._group.start_soon(clients.run, self.plan.strangers)
             try:
                 for number, life in enumerate(self.plan.lives):
@@ -142,26 +125,30 @@
             finally:
                 with anyio.CancelScope(shield=True):
                     await self.pilot.kill()
-            self.result.requests = self.registry.request_count
+            self.result.requests = self.platform.registry.request_count
             self._group.cancel_scope.cancel()
         return self.result
 
     def _config(self) -> dict[str, Any]:
-        known = [dict(entry) for entry in self.discovery.servers.values()]
+        known = [dict(entry) for entry in self.platform.discovery.servers.values()]
         if self.plan.odd_kept_list:
-            known += [self.discovery.entry(f"odd{k}") | {"state": value} for k, value in enumerate(ODD_VALUES)]
+            known += [self.platform.discovery.entry(f"odd{k}") | {"state": value} for k, value in enumerate(ODD_VALUES)]
         domain = SETTINGS["domain"] | {"shards": self.plan.slices, "agents": self.plan.proxies}
         return {
             "name": "n0",
             "listen": f"127.0.0.1:{self._port}",
             "discovery": f"127.0.0.1:{self._discovery_port}",
-            "registry": {"address": f"127.0.0.1:{self._registry_ports[0]}"},
+            "registry": {"address": f"127.0.0.1:{self.platform.registry_ports[0]}"},
             "seed": f"{self.plan.seed:x}",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.plan.max_descriptors},
-            "known": {"version": self.discovery.version, "full": True, "servers": known},
+            "known": {"version": self.platform.discovery.version, "full": True, "servers": known},
             "settings": SETTINGS | {"domain": domain},
         }
 
+    def _reload(self, valid: bool) -> None:
+        self.pilot.write_config(self._config() if valid else None)
+        self.pilot.send(signal.SIGHUP)
+
     # -- one life
 
     async def _play_life(self, life: Life, clients: Clients, is_last: bool) -> None:
@@ -174,7 +161,7 @@
             self._fail("the pilot did not become ready")
         for step in life.steps:
             await anyio.sleep(step.pause_s)
-            await self._act(step)
+            await self.platform.act(step, self._group)
         if is_last:
             await self._settle()
             self._check_descriptors()
@@ -209,10 +196,7 @@
 
     async def _settle(self) -> None:
         """End all faults, give all slices back, and wait until nothing changes any more."""
-        self.registry.faults.clear()
-        self.registry.silent = self.discovery.silent = self.discovery.is_down = False
-        while self._lost:
-            await self._give_slice(0)
+        await self.platform.end_faults()
         with anyio.move_on_after(SETTLE_TIMEOUT_S) as scope:
             await self._wait_until_quiet()
         if scope.cancelled_caught:
@@ -221,18 +205,13 @@
     async def _wait_until_quiet(self) -> None:
         digest, since_s = 0, anyio.current_time()
         while True:
-            present = tables_digest(self.registry.tables)
-            if present != digest or self._uncovered():
+            present = tables_digest(self.platform.registry.tables)
+            if present != digest or self.platform.uncovered_slices():
                 digest, since_s = present, anyio.current_time()
             if anyio.current_time() - since_s >= QUIET_S:
                 return
             await anyio.sleep(SETTLE_POLL_S)
 
-    def _uncovered(self) -> list[int]:
-        usable = {name for name, entry in self.discovery.servers.items() if entry["state"] == "Ready"}
-        usable -= self.registry.withdrawn
-        return [number for number, table in self.registry.tables.items() if not usable & set(table)] if usable else []
-
     def _check_descriptors(self) -> None:
         held, allowed = self.pilot.descriptor_count(), MAX_IDLE_DESCRIPTORS + self.plan.strangers
         if held > min(allowed, self.plan.max_descriptors):
@@ -244,113 +223,12 @@
         if not endings:
             self._fail("no pilot_ended in the log")
             return
-        if endings[-1]["tables_digest"] != tables_digest(self.registry.tables):
+        if endings[-1]["tables_digest"] != tables_digest(self.platform.registry.tables):
             self._fail("what the pilot takes for stored is not what the registry stores")
 
     def _fail(self, text: str) -> None:
         self.result.failures.append(f"life {len(self.result.lives)} ({self.result.lives[-1]}): {text}")
 
-    # -- actions
-
-    async def _act(self, step: Step) -> None:
-        draw = random.Random(step.draw)
-        if step.action in REQUEST_FAULTS:
-            self.registry.faults.extend([REQUEST_FAULTS[step.action]] * draw.randint(1, 2))
-            return
-        await getattr(self, f"_do_{step.action.name.lower()}")(draw)
-
-    async def _do_partly_applied(self, draw: random.Random) -> None:
-        self.registry.faults.append(PartlyApplied(draw.randint(0, 3)))
-
-    async def _do_server_drains(self, draw: random.Random) -> None:
-        await self._change_server(draw, "Terminating")
-
-    async def _do_server_gone(self, draw: random.Random) -> None:
-        await self._change_server(draw, "Gone")
-
-    async def _change_server(self, draw: random.Random, state: str) -> None:
-        ready = [name for name, entry in self.discovery.servers.items() if entry["state"] == "Ready"]
-        if len(ready) > 1:
-            await self.discovery.update_server(draw.choice(ready), state)
-
-    async def _do_server_ready(self, draw: random.Random) -> None:
-        await self.discovery.update_server(f"s{draw.randrange(self.plan.servers + 2)}")
-
-    async def _do_odd_entry(self, draw: random.Random) -> None:
-        entry = self.discovery.entry("odd") | {draw.choice(("state", "zone", "weight", "id")): draw.choice(ODD_VALUES)}
-        await self.discovery.send_entries([entry])
-
-    async def _do_half_line(self, draw: random.Random) -> None:
-        await self.discovery.send_bytes(b'{"version":' + b"1" * draw.randint(0, 4))
-        await self.discovery.cut_watches()
-
-    async def _do_discovery_cut(self, draw: random.Random) -> None:
-        del draw
-        await self.discovery.cut_watches()
-
-    async def _do_discovery_down(self, draw: random.Random) -> None:
-        del draw
-        self.discovery.is_down = True
-        await self.discovery.cut_watches()
-        self._group.start_soon(self._restore_discovery)
-
-    async def _restore_discovery(self) -> None:
-        await anyio.sleep(DOWN_S)
-        self.discovery.is_down = False
-
-    async def _do_slice_lost(self, draw: random.Random) -> None:
-        owned = list(self.registry.tables)
-        if len(owned) > 1:
-            number = draw.choice(owned)
-            await self.registry.take_slice(number)
-            self._lost.append(number)
-
-    async def _do_slice_given(self, draw: random.Random) -> None:
-        if self._lost:
-            await self._give_slice(draw.randrange(len(self._lost)))
-
-    async def _give_slice(self, index: int) -> None:
-        """Give a slice back with the table that another pilot has made for it meanwhile."""
-        number = self._lost.pop(index)
-        servers = list(self.discovery.servers) or ["s0"]
-        await self.registry.give_slice(number, {self._rng.choice(servers): 1.0})
-
-    async def _do_slice_lost_twice(self, draw: random.Random) -> None:
-        await self._do_slice_lost(draw)
-        await self._do_slice_given(draw)
-        await self._do_slice_lost(draw)
-
-    async def _do_registry_cut(self, draw: random.Random) -> None:
-        del draw
-        await self.registry.cut_watches()
-
-    async def _do_registry_silent(self, draw: random.Random) -> None:
-        del draw
-        self.registry.silent = True
-        self._group.start_soon(self._end_silence)
-
-    async def _end_silence(self) -> None:
-        await anyio.sleep(SILENCE_S)
-        self.registry.silent = False
-
-    async def _do_proxies_reconnect(self, draw: random.Random) -> None:
-        del draw
-        await self.registry.reconnect_proxies()
-
-    async def _do_reload(self, draw: random.Random) -> None:
-        del draw
-        self.pilot.write_config(self._config())
-        self.pilot.send(signal.SIGHUP)
-
-    async def _do_reload_invalid(self, draw: random.Random) -> None:
-        del draw
-        self.pilot.write_config(None)
-        self.pilot.send(signal.SIGHUP)
-
-    async def _do_registry_moves(self, draw: random.Random) -> None:
-        self._registry_ports.reverse()
-        await self._do_reload(draw)
-
 
 async def play(seed: int, folder: Path) -> SoakResult:
     """Play the soak of a seed in an empty folder."""
