A request on a late loop is shown to be confirmed, on both event loops

Looked for beside the connect timeout: whether the send and receive timeouts of a request give up what is answered when a turn of the loop takes longer than the timeout.

--- a/tests/test_platform_http_client.py
+++ b/tests/test_platform_http_client.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import threading
+import time
+
 import anyio
 import pytest
 
@@ -37,3 +42,57 @@
             group.cancel_scope.cancel()
 
     anyio.run(scene)
+
+
+class AnsweringThread:
+    """A server that answers at once, whatever the event loop does."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self.requests = 0
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._answer, args=(client,), daemon=True).start()
+
+    def _answer(self, client: socket.socket) -> None:
+        with client, contextlib.suppress(OSError):
+            while client.recv(65_536):
+                self.requests += 1
+                client.sendall(answer_bytes(b'{"taken":1}'))
+
+    def close(self) -> None:
+        self._listener.close()
+
+
+@pytest.mark.parametrize("use_uvloop", [False, True])
+def test_a_request_is_confirmed_though_each_turn_of_the_loop_takes_longer_than_its_timeout(use_uvloop):
+    """A late loop gave up requests that were answered; their orders were sent again, and the loop was later still."""
+    server = AnsweringThread()
+
+    async def hold_up_the_loop() -> None:
+        while True:
+            time.sleep(0.05)
+            await anyio.sleep(0)
+
+    async def scene() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(hold_up_the_loop)
+            connection = http_client.HttpConnection(Address("127.0.0.1", server.port), 30.0)
+            for _ in range(3):
+                await connection.connect(0.02)
+                response = await connection.request("POST", "/txn", b"{}", 0.02)
+                assert response.body == b'{"taken":1}'
+            group.cancel_scope.cancel()
+
+    try:
+        anyio.run(scene, backend="asyncio", backend_options={"use_uvloop": use_uvloop})
+    finally:
+        server.close()
+    assert server.requests == 3
