--- a/damsonpick/testing/soak/pilot_process.py
+++ b/damsonpick/testing/soak/pilot_process.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from collections.abc import Collection
 from pathlib import Path
 from typing import Any
 
@@ -106,16 +107,16 @@
                 continue  # a line that a kill has cut, or a traceback
         return [entry for entry in entries if isinstance(entry, dict)]
 
-    def has_logged(self, event: str) -> bool:
-        """Whether an event stands in the log of this life."""
-        return any(entry.get("event") == event for entry in self.entries())
+    def has_logged(self, *events: str) -> bool:
+        """Whether one of these events stands in the log of this life."""
+        return any(entry.get("event") in events for entry in self.entries())
 
-    async def wait_for(self, event: str, timeout_s: float = START_TIMEOUT_S) -> bool:
-        """Wait for an event in the log of this life; False: it did not come, or the process has ended."""
+    async def wait_for_any(self, events: Collection[str], timeout_s: float = START_TIMEOUT_S) -> bool:
+        """Wait for one of these events in the log of this life; False: none came, or the process has ended."""
         with anyio.move_on_after(timeout_s):
-            while not self.has_logged(event):
+            while not self.has_logged(*events):
                 if not self.is_running():
-                    return self.has_logged(event)
+                    return self.has_logged(*events)
                 await anyio.sleep(LOG_POLL_S)
             return True
         return False
--- a/damsonpick/testing/soak/platform.py
+++ b/damsonpick/testing/soak/platform.py
@@ -48,6 +48,10 @@
         self._reload = reload
         self._lost: list[int] = []  # slices that another pilot has
 
+    def pilot_ended(self) -> None:
+        """Drop the withdrawals of a life that has ended, as the operators' pages say of an instance."""
+        self.registry.withdrawn.clear()
+
     async def end_faults(self) -> None:
         """End all faults and give all slices back."""
         self.registry.faults.clear()
@@ -61,6 +65,12 @@
         usable -= self.registry.withdrawn
         return [number for number, table in self.registry.tables.items() if not usable & set(table)] if usable else []
 
+    def describe_uncovered(self) -> str:
+        """Return what is known of slices without a usable server, for a failure."""
+        states = {name: entry["state"] for name, entry in self.discovery.servers.items()}
+        uncovered = {number: self.registry.tables[number] for number in self.uncovered_slices()}
+        return f"tables without a usable server {uncovered}, servers {states}, withdrawn {self.registry.withdrawn}"
+
     async def act(self, step: Step, group: TaskGroup) -> None:
         """Carry out one step of a plan; what ends by itself later runs in `group`."""
         draw = random.Random(step.draw)
