The settings of a small platform site stand once, for tests and soak

What stood twice: 30 lines of settings and the search for a free port, in tests/platform_world.py and the soak's player. Now in testing/fakes/platform_config.py; the tests' settings compare equal to what they were.

--- a/damsonpick/testing/soak/platform.py
+++ b/damsonpick/testing/soak/platform.py
@@ -9,10 +9,10 @@
 from anyio.abc import TaskGroup
 
 from damsonpick.testing.fakes.discovery import FakeDiscovery
+from damsonpick.testing.fakes.platform_config import ZONES
 from damsonpick.testing.fakes.registry import FakeRegistry, PartlyApplied, RequestFault
 from damsonpick.testing.soak.plan import Action, SoakPlan, Step
 
-ZONES = ("a", "b")
 SILENCE_S = 2.6  # longer than a watch may be silent
 DOWN_S = 0.5
 ODD_VALUES = (["Ready"], {"Ready": 1}, None, 7, "", "Odd", [[]], 1e300)
--- a/damsonpick/testing/soak/player.py
+++ b/damsonpick/testing/soak/player.py
@@ -4,7 +4,6 @@
 
 import random
 import signal
-import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -13,16 +12,16 @@
 from anyio.abc import TaskGroup
 
 from damsonpick.protocols.platform.stored_state import tables_digest
+from damsonpick.testing.fakes.platform_config import SETTINGS, ZONES, free_port
 from damsonpick.testing.soak.clients import ANSWER_GRACE_S, Clients
 from damsonpick.testing.soak.pilot_process import PilotProcess
 from damsonpick.testing.soak.plan import Ending, Life, SoakPlan, draw_plan
-from damsonpick.testing.soak.platform import ODD_VALUES, ZONES, SoakPlatform
+from damsonpick.testing.soak.platform import ODD_VALUES, SoakPlatform
 
 SETTLE_TIMEOUT_S = 8.0
 SETTLE_POLL_S = 0.05
 QUIET_S = 1.2  # over which nothing may change at the end: longer than the time between two heartbeats
 READY_EVENTS = frozenset(("pilot_ready", "readiness_timed_out"))
-PORT_RANGE = 20_000, 32_000  # below the ports of outgoing connections
 MAX_IDLE_DESCRIPTORS = 40  # of a pilot without strangers
 TERM_SERIES: dict[Ending, tuple[signal.Signals, ...]] = {
     Ending.TERM: (signal.SIGTERM,),
@@ -31,34 +30,6 @@
     Ending.TERM_DURING_RELOAD: (signal.SIGHUP, signal.SIGTERM),
     Ending.TERM_BEFORE_READY: (signal.SIGTERM,),
 }
-SETTINGS: dict[str, Any] = {
-    "me": 0,
-    "peersTotal": 2,
-    "zone": "a",
-    "zones": list(ZONES),
-    "discovery": "subscribe",
-    "domain": {
-        "soleOwner": False,
-        "admission": "ratio",
-        "egressPerS": 4000.0,
-        "mostWaiting": 6000.0,
-        "overhead": 8.0,
-        "reportEveryNs": 200_000_000,
-        "transitMaxNs": 400_000_000,
-        "pick": "pair",
-    },
-    "rules": {
-        "stopSendingWithinNs": 2_000_000_000,
-        "coldShare": 0.2,
-        "coldNs": 15_000_000_000,
-        "askEveryNs": 10_000_000_000,
-    },
-    "report": {"fields": ["busy_reqs"]},
-    "grades": [
-        {"name": "look", "aimNs": 10**9, "deadlineNs": 3 * 10**9, "effect": "read_like", "worth": 1.0},
-        {"name": "pay", "aimNs": 10**9, "deadlineNs": 3 * 10**9, "effect": "non_idempotent", "worth": 3.0},
-    ],
-}
 
 
 @dataclass(slots=True)
@@ -78,18 +49,6 @@
     failures: list[str] = field(default_factory=list)
 
 
-def free_port() -> int:
-    """A port that was free a moment ago."""
-    while True:
-        port = random.randrange(*PORT_RANGE)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 class Soak:
     """One soak from its plan to its result.
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -4,10 +4,8 @@
 
 import json
 import os
-import random
 import shlex
 import signal
-import socket
 import sys
 import tomllib
 from contextlib import asynccontextmanager
@@ -17,56 +15,13 @@
 
 from damsonpick.testing.fakes.collector import FakeCollector
 from damsonpick.testing.fakes.discovery import FakeDiscovery
+from damsonpick.testing.fakes.platform_config import SETTINGS as SITE_SETTINGS
+from damsonpick.testing.fakes.platform_config import free_port as free_port
 from damsonpick.testing.fakes.registry import FakeRegistry
 
 ROOT = Path(__file__).parent.parent
 TIMEOUT_S = 10.0  # a bound, not a wait
-SETTINGS = {
-    "me": 0,
-    "peersTotal": 2,
-    "zone": "a",
-    "zones": ["a", "b"],
-    "discovery": "subscribe",
-    "domain": {
-        "shards": 6,
-        "agents": 8,
-        "soleOwner": False,
-        "admission": "ratio",
-        "egressPerS": 4000.0,
-        "mostWaiting": 6000.0,
-        "overhead": 8.0,
-        "reportEveryNs": 200_000_000,
-        "transitMaxNs": 400_000_000,
-        "pick": "pair",
-    },
-    "rules": {
-        "stopSendingWithinNs": 2_000_000_000,
-        "coldShare": 0.2,
-        "coldNs": 15_000_000_000,
-        "askEveryNs": 10_000_000_000,
-    },
-    "report": {"fields": ["busy_reqs"]},
-    "grades": [
-        {"name": "look", "aimNs": 10**9, "deadlineNs": 3 * 10**9, "effect": "read_like", "worth": 1.0},
-        {"name": "pay", "aimNs": 10**9, "deadlineNs": 3 * 10**9, "effect": "non_idempotent", "worth": 3.0},
-    ],
-}
-
-
-def free_port() -> int:
-    """A port that was free a moment ago; the pilot is told its port and cannot pick one.
-
-    It lies below the range from which the system takes the ports of outgoing connections (32768 and above): one of the
-    many of a test run could take the port before the pilot has opened it.
-    """
-    while True:
-        port = random.randrange(20_000, 32_000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+SETTINGS = SITE_SETTINGS | {"domain": SITE_SETTINGS["domain"] | {"shards": 6, "agents": 8}}
 
 
 def config(listen: int = 1, registry: int = 2, discovery: int = 3, **changes) -> dict:
