A task of the daemon that fails again and again is tried within a second

Read once more: keep_running let its delay grow to 30 s; a drive loop that stands still so long keeps a drain waiting past its grace, where the former end of the process would have been noticed. Change: one second at most, and a task that ran ten seconds starts from the least delay.

--- a/damsonpick/runtime/supervision.py
+++ b/damsonpick/runtime/supervision.py
@@ -12,7 +12,8 @@
 from damsonpick.runtime.backoff import Backoff
 
 MIN_RESTART_DELAY_S = 0.1
-MAX_RESTART_DELAY_S = 30.0
+MAX_RESTART_DELAY_S = 1.0  # less than a drain may wait
+STEADY_AFTER_S = 10.0  # a task that ran so long starts from the least delay again
 ACCEPT_RETRY_DELAY_S = 0.05  # without a pause the loop would spin until a descriptor is free
 REMEDY = "send this to the maintainers"
 
@@ -31,7 +32,7 @@
         try:
             await run()
         except Exception as error:
-            if anyio.current_time() - started_s > MAX_RESTART_DELAY_S:
+            if anyio.current_time() - started_s > STEADY_AFTER_S:
                 backoff.reset()
             delay_s = backoff.next_delay_s()
             log.exception(
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -40,6 +40,29 @@
     assert events == [("task_failed", "sample", "LookupError('no such thing')")] * 3
 
 
+def test_a_task_that_fails_again_and_again_waits_a_second_at_most(captured, log):
+    """A drive loop that stood still for longer would keep a drain waiting past its grace."""
+    delays_s = []
+
+    async def scene() -> None:
+        async def skip(delay_s: float) -> None:
+            delays_s.append(delay_s)
+            if len(delays_s) == 20:
+                group.cancel_scope.cancel()
+            await anyio.lowlevel.checkpoint()
+
+        async def fail() -> None:
+            raise LookupError("no such thing")
+
+        async with anyio.create_task_group() as group:
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(supervision.anyio, "sleep", skip)
+                await keep_running("sample", fail, log)
+
+    anyio.run(scene)
+    assert len(delays_s) == 20 and max(delays_s) <= 1.0
+
+
 def test_a_task_that_is_cancelled_ends(log):
     async def scene() -> None:
         with anyio.move_on_after(0.05) as scope:
