The reckless pilot of the tests pushes cold servers over on any machine

Cause: the pilot that is broken on purpose was reckless in its tables only. It still shed (levels of 0.05 for the larger class in every trace), and its tables mixed cold servers with warm ones, of which gateways pick the less busy.

Change: the pilot gives the slices of a warming endpoint to it alone and admits every request. The test, the rule's check and its bound are as they were.

--- a/tests/broken_pilot.py
+++ b/tests/broken_pilot.py
@@ -37,19 +37,42 @@
     real, PublishedTables.apply = PublishedTables.apply, apply
 
 
-def retrying() -> None:
-    """All classes are tried again after any failure."""
+def replace_admission(**fields) -> None:
+    """Every admission order goes out with other values in these fields."""
 
     def apply(self, orders):
-        return real(self, [o._replace(retry=3) if isinstance(o, api.SetAdmission) else o for o in orders])
+        return real(self, [o._replace(**fields) if isinstance(o, api.SetAdmission) else o for o in orders])
 
     real, PublishedTables.apply = PublishedTables.apply, apply
 
 
+def retrying() -> None:
+    """All classes are tried again after any failure."""
+    replace_admission(retry=3)
+
+
 def reckless() -> None:
-    """A warming endpoint is taken for a warm one, and for a huge one."""
-    slow_start.warm_up_share = lambda fleet, endpoint: 1.0
+    """A warming endpoint is taken for a warm one, gets all requests of its slices, and nothing is shed to spare it."""
+    warming = set()
+
+    def warm_up_share(fleet, endpoint):
+        if endpoint.started:
+            warming.add(endpoint.name)
+        return 1.0
+
+    def apply(self, orders):
+        change = real(self, orders)
+        for number, table in self.tables.items():
+            if any(name in warming for name in self.routable_endpoints(number)):
+                for name in [name for name in table if name not in warming]:
+                    del table[name]
+                    change.entries.setdefault(f"slice/{number}", set()).add(name)
+        return change
+
+    slow_start.warm_up_share = warm_up_share
     capacity.capacity_of = lambda fleet, endpoint: 1000.0 if endpoint.started else 0.1
+    replace_admission(level=1.0)
+    real, PublishedTables.apply = PublishedTables.apply, apply
 
 
 if __name__ == "__main__":
