--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -42,9 +42,11 @@
 share = 0.4
 work = 200 ms
 """
+# the server stays away until long after the pilot is back, on a busy machine too, so that it must be withdrawn
 KILLED = (
-    "[trouble kill]\nkind = pilot_restart\nat = 6 s\nextra = 1\n[trouble crash]\nkind = crash\nat = 7 s\nlen = 4 s\n"
+    "[trouble kill]\nkind = pilot_restart\nat = 6 s\nextra = 1\n[trouble crash]\nkind = crash\nat = 7 s\nlen = 9 s\n"
 )
+KILLED_LENGTH_S = 22  # the server comes back at 16 s, and the rest of the day sees it warming up
 DEPLOY = "[trouble release]\nkind = deploy\nat = 5 s\nlen = 8 s\npart = 0.7\nsize = 0.34\nextra = 3\n"
 LOST = "[trouble lost]\nkind = answers_lost\nat = 4 s\nlen = 9 s\npart = 0.7\nsize = 0.5\n"
 
@@ -67,10 +69,10 @@
 
 
 def test_a_day_with_the_pilot_killed_keeps_all_rules(tmp_path):
-    code, outcome = play(tmp_path, KILLED)
+    code, outcome = play(tmp_path, KILLED, length=KILLED_LENGTH_S)
     assert code == 0 and outcome["kept"], outcome
     tested = {r["rule"]: r["tested"] for r in outcome["rules"]}
-    assert all(tested[r] for r in ("nobody left without a server", "no effect twice", "drains kept")), tested
+    assert all(tested.values()), tested
     assert outcome["requests"] > 100 and outcome["service"] > 0.5
     log = (tmp_path / "kept" / "day-1" / "pilot.log").read_text()
     assert log.count("pilot_started") == 2, "it was killed and came back"
