Field of a validation error, numbers of settings and request headers stand once

Change: `protocols/shared/validation.py` with a typed InvalidField; `_whole_number` and `_finite_number`; the fake's headers; `Query` is imported where it is defined. No behaviour changes: texts of errors are the same.

--- a/damsonpick/controller/control_requests.py
+++ b/damsonpick/controller/control_requests.py
@@ -12,6 +12,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from damsonpick.protocols.shared.validation import invalid_field
+
 MAX_DURATION_NS = 10 * 365 * 86_400 * 1_000_000_000
 MAX_SLICE_NUMBER = 1 << 31
 MAX_ACT_NUMBER = 1 << 62
@@ -22,7 +24,6 @@
 ActNumber = Annotated[int, Meta(ge=0, le=MAX_ACT_NUMBER)]
 
 JsonObject = Mapping[str, Any]
-_PATH_MARK = " - at `$."
 
 
 class Query(StrEnum):
@@ -162,8 +163,8 @@
     try:
         return msgspec.convert(dict(request), request_type)
     except msgspec.ValidationError as error:
-        reason, _, path = str(error).partition(_PATH_MARK)
-        raise InvalidRequestError(path.rstrip("`"), reason) from None
+        field = invalid_field(error)
+        raise InvalidRequestError(field.path, field.reason) from None
 
 
 def _request_type(query: Query, request: JsonObject) -> type[ControlRequest]:
--- a/damsonpick/controller/queries.py
+++ b/damsonpick/controller/queries.py
@@ -10,10 +10,10 @@
     ControlRequest,
     InvalidRequestError,
     JsonObject,
+    Query,
     TablesRequest,
     decode_request,
 )
-from damsonpick.controller.control_requests import Query as Query
 from damsonpick.controller.control_socket import Reply
 from damsonpick.controller.engine import Engine
 from damsonpick.controller.list_watch import ListWatch
--- a/damsonpick/protocols/platform/json_values.py
+++ b/damsonpick/protocols/platform/json_values.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from damsonpick.protocols.platform.errors import InvalidMessageError
+from damsonpick.protocols.shared.validation import invalid_field
 
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError, OverflowError)
-_PATH_MARK = " - at `$."
 MAX_LOGGED_VALUE = 40  # characters
 
 
@@ -22,9 +22,9 @@
         kind: of the message, if known; prefixed to the field.
         error: of the decoder.
     """
-    reason, _, path = str(error).partition(_PATH_MARK)
-    field = ".".join(part for part in (kind, path.rstrip("`")) if part)
-    return InvalidMessageError(field, reason)
+    field = invalid_field(error)
+    path = ".".join(part for part in (kind, field.path) if part)
+    return InvalidMessageError(path, field.reason)
 
 
 def describe_value(value: object) -> str:
--- a/damsonpick/protocols/shared/instance_settings.py
+++ b/damsonpick/protocols/shared/instance_settings.py
@@ -83,12 +83,8 @@
             SettingError: it is absent without a default, no whole number or out of range.
         """
         value = self._value(path, default)
-        try:
-            number = int(value)
-        except (TypeError, ValueError, OverflowError):
-            raise SettingError.invalid(path, "not a whole number", value) from None
-        has_fraction = isinstance(value, float) and number != value
-        if isinstance(value, bool) or has_fraction or abs(number) >= INTEGER_LIMIT:
+        number = _whole_number(value)
+        if number is None:
             raise SettingError.invalid(path, "not a whole number", value)
         if not minimum <= number <= maximum:
             raise SettingError.invalid(path, f"not between {minimum} and {maximum}", value)
@@ -109,11 +105,8 @@
             SettingError: it is absent without a default, no finite number or out of range.
         """
         value = self._value(path, default)
-        try:
-            number = float(value)
-        except (TypeError, ValueError, OverflowError):
-            raise SettingError.invalid(path, "not a finite number", value) from None
-        if isinstance(value, bool) or not math.isfinite(number):
+        number = _finite_number(value)
+        if number is None:
             raise SettingError.invalid(path, "not a finite number", value)
         if not minimum <= number <= maximum:
             raise SettingError.invalid(path, f"not between {minimum:g} and {maximum:g}", value)
@@ -176,6 +169,29 @@
         return default
 
 
+def _whole_number(value: Any) -> int | None:
+    """Return a value, or the text of one, as a whole number; None if it is none, or beyond `INTEGER_LIMIT`."""
+    try:
+        number = int(value)
+    except (TypeError, ValueError, OverflowError):
+        return None
+    has_fraction = isinstance(value, float) and number != value
+    if isinstance(value, bool) or has_fraction or abs(number) >= INTEGER_LIMIT:
+        return None
+    return number
+
+
+def _finite_number(value: Any) -> float | None:
+    """Return a value, or the text of one, as a finite number; None if it is none."""
+    try:
+        number = float(value)
+    except (TypeError, ValueError, OverflowError):
+        return None
+    if isinstance(value, bool) or not math.isfinite(number):
+        return None
+    return number
+
+
 def read_settings(values: Mapping[str, Any]) -> api.Settings:
     """Return the planner's settings.
 
--- a/damsonpick/testing/fakes/proxy_gateway.py
+++ b/damsonpick/testing/fakes/proxy_gateway.py
@@ -8,11 +8,10 @@
 
 import anyio
 
-from damsonpick.protocols.xds.names import slice_of
 from damsonpick.proxy.program import Proxy
 from damsonpick.proxy.settings import Limits, Own, ProxySettings, RequestClass
 from damsonpick.testing.fakes import http
-from damsonpick.testing.fakes.gateway import NO_LOG, known_addresses, response_details
+from damsonpick.testing.fakes.gateway import NO_LOG, ForwardedRequest, known_addresses, response_details
 from damsonpick.testing.fakes.gateway_context import GatewayContext, TrafficClass
 from damsonpick.testing.fakes.request_outcome import HTTP_OK, Ending, RequestOutcome, ended, status_ending
 
@@ -89,14 +88,10 @@
         """One client's request through the proxy's socket; arguments as of `FakeGateway`."""
         if not self.proxy.port:
             return ended(Ending.NO_SERVER)
-        headers = {
-            "x-request-id": request_id,
-            "x-damson-class": traffic_class.name,
-            "x-work-ms": f"{work_ms:.1f}",
-            "x-slice": str(slice_of(cluster)),
-            "x-damson-cluster": cluster,
-            "x-client-id": request_id,
-        }
+        request = ForwardedRequest(
+            request_id, traffic_class, cluster, work_ms, self.clock.now() + traffic_class.deadline
+        )
+        headers = request.headers() | {"x-damson-cluster": cluster, "x-client-id": request_id}
         connection = None
         try:
             with anyio.fail_after(self.clock.seconds(traffic_class.deadline) + CLIENT_PATIENCE_S):
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from damsonpick.controller.control_requests import Query
 from damsonpick.controller.control_socket import _answer_text
-from damsonpick.controller.queries import Query, QueryRouter, sasp_query, weights_query
+from damsonpick.controller.queries import QueryRouter, sasp_query, weights_query
 
 
 def router():
