Units of time stand once, in time_units, under one name each

They import them now; the decision package keeps its one, since it imports the interface alone (test_decision_package holds that). No behaviour changes: all uses multiply or divide.

--- a/damsonpick/cli/learned.py
+++ b/damsonpick/cli/learned.py
@@ -21,14 +21,13 @@
     print_table,
     settings_file,
 )
+from damsonpick.time_units import NS_PER_SECOND
 
 if TYPE_CHECKING:
     from damsonpick.settings import PilotSettings
     from damsonpick.state.learned.generations import LoadedSnapshot
     from damsonpick.state.learned.snapshot import LearnedEndpoint, Snapshot
 
-NS_PER_SECOND = 1e9
-
 
 @click.group()
 def learned() -> None:
--- a/damsonpick/cli/versions.py
+++ b/damsonpick/cli/versions.py
@@ -20,11 +20,11 @@
     settings_file,
 )
 from damsonpick.settings.units import parse_duration
+from damsonpick.time_units import NS_PER_SECOND
 
 if TYPE_CHECKING:
     from damsonpick.controller.control_socket import Reply
 
-NS_PER_SECOND = 1e9
 SHORT_ROOT = 12  # characters of a root that are shown
 
 expect = click.option("--expect", type=int, help="Act only if this is still the act number that `list` shows.")
--- a/damsonpick/controller/list_queries.py
+++ b/damsonpick/controller/list_queries.py
@@ -11,8 +11,7 @@
 from damsonpick.controller.list_updates import ListUpdater
 from damsonpick.controller.list_watch import ListWatch
 from damsonpick.runtime.clock import Clock
-
-NS_PER_SECOND = 1e9
+from damsonpick.time_units import NS_PER_SECOND
 
 
 @dataclass(slots=True, eq=False)
--- a/damsonpick/controller/solver_task.py
+++ b/damsonpick/controller/solver_task.py
@@ -17,10 +17,10 @@
 from damsonpick.solver import work
 from damsonpick.solver.advice import Advisor
 from damsonpick.solver.model import Plan
+from damsonpick.time_units import NS_PER_SECOND
 
 DUE_CHECK_PERIOD_NS = 100_000_000
 WORKER_START_S = 5.0  # wall time that the worker may take to start, beside the solve's own limit
-NS_PER_SECOND = 1e9
 
 LineWeights = dict[int, tuple[tuple[str, float], ...]]
 
--- a/damsonpick/load_tool/experiment.py
+++ b/damsonpick/load_tool/experiment.py
@@ -14,8 +14,7 @@
 from damsonpick.settings import sections
 from damsonpick.settings.problems import Problem, SettingsError
 from damsonpick.settings.units import Address, Duration
-
-SECOND_NS = 1_000_000_000
+from damsonpick.time_units import NS_PER_SECOND
 
 
 class Section(BaseModel):
@@ -91,11 +90,11 @@
     names = list(experiment.classes)
     shares = [spec.share for spec in experiment.classes.values()]
     cumulative = list(accumulate(1 / (rank + 1) ** load.skew for rank in range(load.keys)))
-    due_ns = rng.expovariate(load.rate) * SECOND_NS
+    due_ns = rng.expovariate(load.rate) * NS_PER_SECOND
     number = 0
     while due_ns < load.length:
         key = min(bisect(cumulative, rng.random() * cumulative[-1]), load.keys - 1)
         request_class = rng.choices(names, shares)[0]
         yield Arrival(int(due_ns), request_class, key, number)
         number += 1
-        due_ns += rng.expovariate(load.rate) * SECOND_NS
+        due_ns += rng.expovariate(load.rate) * NS_PER_SECOND
--- a/damsonpick/load_tool/player.py
+++ b/damsonpick/load_tool/player.py
@@ -9,12 +9,12 @@
 import httptools
 from anyio.abc import SocketStream
 
-from damsonpick.load_tool.experiment import SECOND_NS, Arrival, Experiment, RequestClass, arrivals
+from damsonpick.load_tool.experiment import Arrival, Experiment, RequestClass, arrivals
 from damsonpick.load_tool.results import ClassResults, report
 from damsonpick.runtime import sockets
+from damsonpick.time_units import NS_PER_SECOND, NS_PER_US
 
 READ_BYTES = 262_144
-MICROSECOND_NS = 1_000
 
 
 class ResponseReader:
@@ -66,7 +66,7 @@
                 group.start_soon(self._send, arrival)
         for connection in self.idle_connections:
             await anyio.aclose_forcefully(connection)
-        return report(self.experiment, self.results, self.max_lateness_ns // MICROSECOND_NS)
+        return report(self.experiment, self.results, self.max_lateness_ns // NS_PER_US)
 
     def _elapsed_ns(self) -> int:
         return time.monotonic_ns() - self.started_ns
@@ -74,7 +74,7 @@
     async def _wait_until_due(self, arrival: Arrival) -> None:
         left_ns = arrival.due_ns - self._elapsed_ns()
         if left_ns > 0:
-            await anyio.sleep(left_ns / SECOND_NS)
+            await anyio.sleep(left_ns / NS_PER_SECOND)
         else:
             await anyio.lowlevel.checkpoint()
 
@@ -82,12 +82,12 @@
         """One request; its latency counts from the moment it was due."""
         spec = self.experiment.classes[arrival.request_class]
         outcome = "timed out"
-        with anyio.move_on_after(spec.timeout / SECOND_NS):
+        with anyio.move_on_after(spec.timeout / NS_PER_SECOND):
             async with self.slots:
                 outcome = await self._exchange(arrival, spec)
         latency_ns = self._elapsed_ns() - arrival.due_ns
         if arrival.due_ns >= self.experiment.load.warm_up:
-            self.results[arrival.request_class].add(outcome, latency_ns // MICROSECOND_NS)
+            self.results[arrival.request_class].add(outcome, latency_ns // NS_PER_US)
 
     async def _exchange(self, arrival: Arrival, spec: RequestClass) -> str:
         """Send one request and read its response; returns the status, or how it failed."""
--- a/damsonpick/load_tool/results.py
+++ b/damsonpick/load_tool/results.py
@@ -14,10 +14,10 @@
 from hdrh.histogram import HdrHistogram
 
 from damsonpick.load_tool.experiment import Experiment
+from damsonpick.time_units import NS_PER_SECOND
 
 MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS = 1, 100_000_000, 3
 PERCENTILES = (50, 90, 99, 99.9, 100)
-SECOND_NS = 1_000_000_000
 
 
 class ClassResults:
@@ -56,7 +56,7 @@
         "experiment": experiment.model_dump(mode="json"),
         "python": platform.python_version(),
         "sender_late_us": max_lateness_us,
-        "classes": {name: result.view(counted_ns / SECOND_NS) for name, result in sorted(results.items())},
+        "classes": {name: result.view(counted_ns / NS_PER_SECOND) for name, result in sorted(results.items())},
     }
 
 
--- a/damsonpick/protocols/platform/discovery.py
+++ b/damsonpick/protocols/platform/discovery.py
@@ -12,13 +12,13 @@
 from damsonpick import interface as api
 from damsonpick.protocols.platform.errors import EndpointEntryError, EndpointListError
 from damsonpick.protocols.platform.json_values import DECODE_ERRORS, describe_value
+from damsonpick.time_units import NS_PER_MS
 
 STATUSES: dict[str, api.EndpointStatus] = {
     "Ready": "in_service",
     "Terminating": "terminating",
     "Gone": "terminated",
 }
-NS_PER_MS = 1_000_000
 MAX_START_MS = 1 << 52  # far beyond any clock
 MAX_VERSION = 1 << 62
 MAX_WEIGHT = 1e9
--- a/damsonpick/protocols/platform/endpoint_list.py
+++ b/damsonpick/protocols/platform/endpoint_list.py
@@ -9,9 +9,9 @@
 from damsonpick import interface as api
 from damsonpick.protocols.platform.discovery import EndpointListUpdate
 from damsonpick.protocols.platform.errors import EndpointListError
+from damsonpick.time_units import NS_PER_SECOND
 
-NS_PER_S = 1_000_000_000
-DEFAULT_ROLLBACK_DELAY_NS = 10 * NS_PER_S
+DEFAULT_ROLLBACK_DELAY_NS = 10 * NS_PER_SECOND
 COMPLETE_LIST = 0  # as the version from which a watch starts
 
 
@@ -93,6 +93,6 @@
             return False
         if not update.full:
             self._needs_full_list = True
-            delay_s = self.rollback_delay_ns / NS_PER_S
+            delay_s = self.rollback_delay_ns / NS_PER_SECOND
             raise EndpointListError("version", f"{update.version} after {self.version}, for {delay_s:g} s")
         return True
--- a/damsonpick/protocols/platform/messages.py
+++ b/damsonpick/protocols/platform/messages.py
@@ -14,8 +14,8 @@
 from damsonpick import interface as api
 from damsonpick.protocols.platform.errors import InvalidMessageError, MalformedMessageError
 from damsonpick.protocols.platform.json_values import DECODE_ERRORS, invalid_message
+from damsonpick.time_units import NS_PER_MS
 
-NS_PER_MS = 1_000_000
 MAX_DURATION_MS = 600_000
 MAX_LOAD_VALUE = 1e12
 MAX_LOGGED_NAME = 60  # characters
--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -15,9 +15,9 @@
 from damsonpick.protocols.platform.pending_orders import PendingOrders, TableChange
 from damsonpick.protocols.platform.stored_state import AdmissionLevels, TableEntries, apply_admission, apply_entry
 from damsonpick.protocols.platform.watch_snapshot import Proxy, WatchSnapshot
+from damsonpick.time_units import NS_PER_MS
 
 MAX_WITHDRAWN_ENDPOINTS = 4096  # kept for a planner that replaces a failed one
-NS_PER_MS = 1_000_000
 
 
 class Registry:
--- a/damsonpick/protocols/platform/state_log.py
+++ b/damsonpick/protocols/platform/state_log.py
@@ -12,11 +12,10 @@
 from damsonpick.decisions.planner import Planner
 from damsonpick.protocols.platform.collaborators import Logger
 from damsonpick.protocols.platform.stored_state import TableEntries
+from damsonpick.time_units import NS_PER_MS, NS_PER_SECOND
 
 INTERVAL_S = 1.0
 MAX_LOGGED_ENDPOINTS = 40  # those with the highest load
-NS_PER_MS = 1_000_000
-NS_PER_S = 1_000_000_000
 KB_PER_MB = 1024
 
 
@@ -70,7 +69,7 @@
         request_rate_rps=round(sum(slice_.load for slice_ in planner.slices.values()), 1),
         answer_rate_rps=round(sum(endpoint.answer_rate for endpoint in reporting), 1),
         reporting_endpoints=len(reporting),
-        report_span_s=round(planner.report_span / NS_PER_S, 1),
+        report_span_s=round(planner.report_span / NS_PER_SECOND, 1),
         messages_in_flight=len(planner.flow_control.in_flight),
         pending_orders=status.pending_orders,
         unpublished_tables=len(planner.unpublished),
--- a/damsonpick/protocols/sasp/advisor.py
+++ b/damsonpick/protocols/sasp/advisor.py
@@ -13,9 +13,9 @@
 from damsonpick.protocols.sasp.weights import Advice, Exclusions, MemberStatus
 from damsonpick.settings.units import slice_numbers
 from damsonpick.state.published_tables import FLEET, PublishedTables, slice_unit
+from damsonpick.time_units import NS_PER_SECOND
 
-NS_PER_S = 1_000_000_000
-SHARES_PERIOD_NS = 2 * NS_PER_S  # for which shares of several slices are kept while no table changes: load moves slowly
+SHARES_PERIOD_NS = 2 * NS_PER_SECOND  # that shares of several slices are kept while no table changes
 FLEET_COVERAGE = "fleet"  # of groups that stand for all slices
 MAX_CACHED_ADVICE = 20_000  # groups' advice
 MAX_CACHED_ENTRIES = 100_000  # encoded weight entries
--- a/damsonpick/protocols/sasp/fleet.py
+++ b/damsonpick/protocols/sasp/fleet.py
@@ -9,10 +9,10 @@
 from damsonpick.runtime.clock import Clock
 from damsonpick.state.endpoint_list.validation import EndpointList
 from damsonpick.state.published_tables import PublishedTables
+from damsonpick.time_units import NS_PER_SECOND
 
-NS_PER_S = 1_000_000_000
-NO_REPORTS_NS = 60 * NS_PER_S  # without any load report, after which advice goes by capacity
-RECENT_REPORT_NS = 10 * NS_PER_S
+NO_REPORTS_NS = 60 * NS_PER_SECOND  # without any load report, after which advice goes by capacity
+RECENT_REPORT_NS = 10 * NS_PER_SECOND
 UNKNOWN_SLICE_LOAD = 0.01  # requests a second of a slice that the planner does not know
 
 
--- a/damsonpick/protocols/sasp/operator_view.py
+++ b/damsonpick/protocols/sasp/operator_view.py
@@ -6,8 +6,7 @@
 
 from damsonpick.protocols.sasp.layout import LbFlag
 from damsonpick.protocols.sasp.registry import Balancer, RegisteredGroup, Registry
-
-NS_PER_S = 1e9
+from damsonpick.time_units import NS_PER_SECOND
 
 
 def describe_registry(registry: Registry, port: int, now: int) -> dict[str, Any]:
@@ -30,7 +29,7 @@
         "trusted": trusted,
         "groups": {_text(group.key.name): _describe_group(group) for group in balancer.groups.values()},
         "seen": max((session.seen_seq for session in sessions), default=None),
-        "last_told_s": round((now - last_told_at) / NS_PER_S, 1) if last_told_at else None,
+        "last_told_s": round((now - last_told_at) / NS_PER_SECOND, 1) if last_told_at else None,
     }
 
 
--- a/damsonpick/protocols/sasp/pacing.py
+++ b/damsonpick/protocols/sasp/pacing.py
@@ -7,10 +7,11 @@
 
 import random
 
-NS_PER_S = 1_000_000_000
+from damsonpick.time_units import NS_PER_SECOND
+
 STEADY_POLL_INTERVAL_S = 10.0
 CHANGING_POLL_INTERVAL_S = 2.0  # shortly after a change
-CHANGE_WINDOW_NS = 15 * NS_PER_S  # how long after a change the shorter interval holds
+CHANGE_WINDOW_NS = 15 * NS_PER_SECOND  # how long after a change the shorter interval holds
 BUSY_QUEUE_SHARE = 0.5  # of the send queue's limit, from which polls are put off
 BUSY_INTERVAL_FACTOR = 3.0
 MAX_POLLS_PER_S = 200.0  # of all sessions together
@@ -72,7 +73,7 @@
     def delay(self, now: int) -> float:
         """Count one message at `now` (ns); returns the seconds to wait before the next one is read."""
         if self.refilled_at:
-            elapsed_s = max(0, now - self.refilled_at) / NS_PER_S
+            elapsed_s = max(0, now - self.refilled_at) / NS_PER_SECOND
             self.tokens = min(BURST_S * self.rate, self.tokens + elapsed_s * self.rate)
         self.refilled_at = now
         self.tokens -= 1
--- a/damsonpick/protocols/sasp/registry.py
+++ b/damsonpick/protocols/sasp/registry.py
@@ -13,9 +13,9 @@
 from typing import NamedTuple, Protocol
 
 from damsonpick.protocols.sasp.layout import Code, Group, LbFlag, Member, MemberFlag, MembersOf, Sender, StatesOf
+from damsonpick.time_units import NS_PER_SECOND
 
-NS_PER_S = 1_000_000_000
-REGISTRATION_RETENTION_NS = 60 * NS_PER_S  # that registrations outlive the last session of their load balancer
+REGISTRATION_RETENTION_NS = 60 * NS_PER_SECOND  # that registrations outlive the last session of their load balancer
 MAX_GROUP_BYTES = 65_535  # what the length of a component can tell
 GROUP_HEAD_BYTES = 12  # of a group of weights: two component heads, the count and two lengths of names
 WEIGHT_BYTES = 32  # of a weight entry without its label
--- a/damsonpick/protocols/shared/send_queue.py
+++ b/damsonpick/protocols/shared/send_queue.py
@@ -12,8 +12,9 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+from damsonpick.time_units import NS_PER_SECOND
+
 BURST_S = 0.05  # seconds of the rate that an idle queue may send at once
-NS_PER_S = 1e9
 REFILL_MARGIN_NS = 1_000_000  # added to the time until tokens are there, so that they are
 
 
@@ -167,7 +168,7 @@
         """
         if self.rate:
             burst = self.rate * BURST_S
-            gained = max(0, now - self.refilled_at) / NS_PER_S * self.rate if self.refilled_at else burst
+            gained = max(0, now - self.refilled_at) / NS_PER_SECOND * self.rate if self.refilled_at else burst
             self.tokens = min(burst, self.tokens + gained)
         self.refilled_at = max(self.refilled_at, now)
 
@@ -187,7 +188,7 @@
             return None
         pause = 0
         if self.rate and self.tokens <= 0:
-            pause = int(-self.tokens / self.rate * NS_PER_S) + REFILL_MARGIN_NS
+            pause = int(-self.tokens / self.rate * NS_PER_SECOND) + REFILL_MARGIN_NS
         if self.messages and not any(self._within_window(now, client) for client in ready):
             window_ends = min(self.sent_at[client][0] for client in ready) + self.window
             pause = max(pause, window_ends - now)
--- a/damsonpick/protocols/xds/load_stats.py
+++ b/damsonpick/protocols/xds/load_stats.py
@@ -17,6 +17,7 @@
 from damsonpick.protocols.xds.names import slice_of
 from damsonpick.state.load_reports import ClientReport, EndpointStats, SliceStats
 from damsonpick.state.published_tables import FLEET, slice_unit
+from damsonpick.time_units import NS_PER_MS
 
 LATENCY_METRIC = "latency_ms"
 REQUESTS_PREFIX = "requests."
@@ -25,7 +26,6 @@
 MAX_CLUSTERS = 70_000  # in one report: more than there can be slices
 MAX_LATENCY_SUM_MS = 1e15
 MAX_COUNT = 1e12
-NS_PER_MS = 1e6
 
 
 def subscription(report_period: int) -> lrs_pb2.LoadStatsResponse:
--- a/damsonpick/protocols/xds/request_rate.py
+++ b/damsonpick/protocols/xds/request_rate.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from damsonpick.protocols.xds.errors import RequestRateError
+from damsonpick.time_units import NS_PER_SECOND
 
 REQUESTS_PER_S = 200.0
 REQUEST_BURST = 4000.0  # a client may subscribe to every slice with a request of its own
-NS_PER_S = 1e9
 
 
 class RequestRateLimit:
@@ -26,7 +26,7 @@
         Raises:
             RequestRateError: the bucket is empty.
         """
-        gained = max(0, now - self._updated_at) / NS_PER_S * REQUESTS_PER_S if self._updated_at else 0.0
+        gained = max(0, now - self._updated_at) / NS_PER_SECOND * REQUESTS_PER_S if self._updated_at else 0.0
         self._tokens = min(REQUEST_BURST, self._tokens + gained) - 1
         self._updated_at = now
         if self._tokens < 0:
--- a/damsonpick/proxy/admission.py
+++ b/damsonpick/proxy/admission.py
@@ -9,9 +9,10 @@
 
 import xxhash
 
+from damsonpick.time_units import NS_PER_SECOND
+
 DRAW_PERIOD_NS = 10_000_000_000  # for which a client's decision holds
 HASH_RANGE = 1 << 64
-SECOND_NS = 1_000_000_000
 
 
 class Admission:
@@ -48,4 +49,4 @@
         """Whole seconds until the next draw, at least 1: the value of a Retry-After header."""
         elapsed_ns = (now + self._offset_ns) % DRAW_PERIOD_NS
         left_ns = DRAW_PERIOD_NS - elapsed_ns
-        return max(1, -(-left_ns // SECOND_NS))
+        return max(1, -(-left_ns // NS_PER_SECOND))
--- a/damsonpick/proxy/load_balancer.py
+++ b/damsonpick/proxy/load_balancer.py
@@ -14,10 +14,11 @@
 from enum import Enum
 from itertools import accumulate
 
+from damsonpick.time_units import NS_PER_SECOND
+
 MIN_EJECTION_S, MAX_EJECTION_S = 2.0, 6.0  # drawn between them, so that proxies do not come back in step
 CONSECUTIVE_FAILURES = 5  # that eject a server, unless the control service publishes another number
 DRAWS_BEFORE_EXACT = 4  # from the whole table, before the weights of the candidates alone are added up
-SECOND_NS = 1_000_000_000
 
 
 class Policy(Enum):
@@ -172,7 +173,7 @@
     def _eject(self, now: int, server: str) -> None:
         del self.consecutive_failures[server]
         duration_s = self.rng.uniform(MIN_EJECTION_S, MAX_EJECTION_S)
-        self.ejected_until[server] = now + int(duration_s * SECOND_NS)
+        self.ejected_until[server] = now + int(duration_s * NS_PER_SECOND)
         self.ejected_until = {name: until for name, until in self.ejected_until.items() if until > now}
         self._ejected_at = {name: self._ejected_at.get(name, now) for name in self.ejected_until}
         self._ejected_at[server] = now
--- a/damsonpick/proxy/pool.py
+++ b/damsonpick/proxy/pool.py
@@ -10,9 +10,10 @@
 from collections import deque
 from typing import Generic, NamedTuple, TypeVar
 
+from damsonpick.time_units import NS_PER_SECOND
+
 Connection = TypeVar("Connection")
 Waiter = TypeVar("Waiter")
-SECOND_NS = 1_000_000_000
 
 
 class ConnectionCounts(NamedTuple):
@@ -89,7 +90,7 @@
 
     def _refill_tokens(self, now: int, server: ServerConnections[Connection, Waiter]) -> None:
         if server.refilled_at:
-            gained = max(0, now - server.refilled_at) / SECOND_NS * self.opening_rate
+            gained = max(0, now - server.refilled_at) / NS_PER_SECOND * self.opening_rate
             server.tokens = min(self.opening_rate, server.tokens + gained)
         else:
             server.tokens = self.opening_rate
--- a/damsonpick/proxy/request_handler.py
+++ b/damsonpick/proxy/request_handler.py
@@ -22,10 +22,10 @@
 from damsonpick.proxy.stream import Stream
 from damsonpick.proxy.upstream_request import DEADLINE, TIMED_OUT, AttemptError, UpstreamConnection, UpstreamRequest
 from damsonpick.runtime.clock import Clock
+from damsonpick.time_units import NS_PER_MS
 
 NO_SERVER, DEADLINE_PASSED = "no server", "the deadline passed"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-MILLISECOND_NS = 1_000_000
 MAX_DEADLINE_DIGITS = 11
 
 
@@ -187,7 +187,7 @@
         left_ns = None
         deadline_ms = headers.get(DEADLINE, b"")
         if deadline_ms.isdigit() and len(deadline_ms) <= MAX_DEADLINE_DIGITS:
-            left_ns = int(deadline_ms) * MILLISECOND_NS
+            left_ns = int(deadline_ms) * NS_PER_MS
         named_client = headers.get(self.client_header)
         identity = named_client.decode("latin-1") if named_client else client.address
         return self.router.classify(now, request_class, key, identity, named_cluster, left_ns)
@@ -279,7 +279,7 @@
                 connection = await self.connector.connect(request, server, zone, until)
             if self.recording:
                 self._record_attempt(head, request, server)
-            left_ms = max(0, request.deadline - started) // MILLISECOND_NS
+            left_ms = max(0, request.deadline - started) // NS_PER_MS
             upstream = UpstreamRequest(self.limits, client, connection, head, left_ms, self.draining)
             answer = await upstream.send(until)
             succeeded = answer.start < 500
--- a/damsonpick/solver/advice.py
+++ b/damsonpick/solver/advice.py
@@ -19,14 +19,14 @@
 from damsonpick.solver.model import Costs, Demand, Plan, Problem, RequestClass, Server, Weights
 from damsonpick.solver.plan import keep_similar, normalise
 from damsonpick.solver.slice_weights import SliceLoad, SliceWeightsProblem
+from damsonpick.time_units import NS_PER_SECOND
 
-NS_PER_S = 1_000_000_000
 MIN_CAPACITY = 1e-3  # cores; replaces a capacity near 0
 MIN_RATE = 1e-6  # requests a second that count as none
 MAX_RATE = 1e12  # requests a second; more is taken for a fault of the reports
 MAX_CORES = 256
 MIN_WARMING_SHARE = 0.05  # of its present capacity that a server may have at least while it warms up
-MAX_RETRY_INTERVAL_NS = 30 * NS_PER_S  # between solves after failures
+MAX_RETRY_INTERVAL_NS = 30 * NS_PER_SECOND  # between solves after failures
 MAX_BACKOFF_DOUBLINGS = 10
 FULLY_ADMITTED = 0.999  # share of a class from which all of it counts as admitted
 
@@ -276,8 +276,8 @@
             name=name,
             priority_weight=section.priority_weight,
             late_weight=min(section.late_weight, section.priority_weight),
-            mean_work_s=max(section.mean_work, 1) / NS_PER_S,
-            latency_objective_s=section.latency_objective / NS_PER_S,
+            mean_work_s=max(section.mean_work, 1) / NS_PER_SECOND,
+            latency_objective_s=section.latency_objective / NS_PER_SECOND,
             own_zone_only=section.own_zone_only,
         )
         for name, section in settings.classes.items()
--- a/damsonpick/state/endpoint_list/sources.py
+++ b/damsonpick/state/endpoint_list/sources.py
@@ -12,13 +12,13 @@
 
 from damsonpick import interface as api
 from damsonpick.state.endpoint_list.validation import STATES_BY_SAFETY
+from damsonpick.time_units import NS_PER_SECOND
 
-SECOND_NS = 1_000_000_000
-FIRST_ANSWER_NS = SECOND_NS  # that better sources have to answer at the start
-SILENCE_NS = 5 * SECOND_NS  # that the active source may be unreachable before another takes over
-STEADY_NS = 3 * SECOND_NS  # that a better source must have been reachable before it takes over
+FIRST_ANSWER_NS = NS_PER_SECOND  # that better sources have to answer at the start
+SILENCE_NS = 5 * NS_PER_SECOND  # that the active source may be unreachable before another takes over
+STEADY_NS = 3 * NS_PER_SECOND  # that a better source must have been reachable before it takes over
 MAX_CALLS = 20  # to one source within `CALL_WINDOW_NS`
-CALL_WINDOW_NS = 60 * SECOND_NS
+CALL_WINDOW_NS = 60 * NS_PER_SECOND
 
 
 class ListError(Exception):
@@ -166,7 +166,7 @@
                 "up": source.up,
                 "believed": name == self.active,
                 "why": source.why,
-                "since_s": round((now - source.since) / SECOND_NS, 1) if source.has_answered() else None,
+                "since_s": round((now - source.since) / NS_PER_SECOND, 1) if source.has_answered() else None,
                 "servers": len(source.entries or ()),
             }
             for name, source in self.all.items()
--- a/damsonpick/state/endpoint_list/validation.py
+++ b/damsonpick/state/endpoint_list/validation.py
@@ -15,11 +15,11 @@
 from typing import NamedTuple
 
 from damsonpick import interface as api
+from damsonpick.time_units import NS_PER_SECOND
 
-SECOND_NS = 1_000_000_000
 MAX_MISSING_SHARE = 0.4  # of the endpoints in service, that may be missing from a list at once
 MIN_MISSING = 3  # endpoints; fewer may always be missing
-CONFIRM_NS = 30 * SECOND_NS  # that a list must go on omitting endpoints
+CONFIRM_NS = 30 * NS_PER_SECOND  # that a list must go on omitting endpoints
 MAX_WEIGHT = 1e6  # exclusive
 DEFAULT_WEIGHT = 1.0
 STATES_BY_SAFETY: tuple[api.EndpointStatus, ...] = ("in_service", "terminating", "terminated")  # the safest last
@@ -127,7 +127,7 @@
         if held and held.keys() != self.held.keys():
             problems.append(
                 f"{len(missing)} of {len(serving)} servers are missing at once: {len(held)} of them are kept "
-                f"for {CONFIRM_NS // SECOND_NS} s unless they fail; `damsonpick list accept` ends it"
+                f"for {CONFIRM_NS // NS_PER_SECOND} s unless they fail; `damsonpick list accept` ends it"
             )
         self.held = held
         self.accepted = False
--- a/damsonpick/state/learned/ageing.py
+++ b/damsonpick/state/learned/ageing.py
@@ -11,17 +11,16 @@
 import msgspec
 
 from damsonpick.state.learned.snapshot import HostTime, LearnedEndpoint, LearnedFleet, LearnedSlice, Snapshot
-
-SECOND_NS = 1_000_000_000
-
-CAPACITY_FACTOR_HALF_LIFE_NS = 300 * SECOND_NS
-THROUGHPUT_PER_CAPACITY_HALF_LIFE_NS = 600 * SECOND_NS
-RATE_HALF_LIFE_NS = 60 * SECOND_NS
-BEST_THROUGHPUT_HALF_LIFE_NS = 60 * SECOND_NS
-WARMTH_HALF_LIFE_NS = 15 * SECOND_NS
-LEVELS_MAX_AGE_NS = 60 * SECOND_NS  # older admission levels were set for a load that has passed
-UNKNOWN_AGE_NS = 1800 * SECOND_NS  # assumed where the age cannot be determined
-CLOCK_TOLERANCE_NS = 5 * SECOND_NS  # difference between two clocks of one host that is not reported
+from damsonpick.time_units import NS_PER_SECOND
+
+CAPACITY_FACTOR_HALF_LIFE_NS = 300 * NS_PER_SECOND
+THROUGHPUT_PER_CAPACITY_HALF_LIFE_NS = 600 * NS_PER_SECOND
+RATE_HALF_LIFE_NS = 60 * NS_PER_SECOND
+BEST_THROUGHPUT_HALF_LIFE_NS = 60 * NS_PER_SECOND
+WARMTH_HALF_LIFE_NS = 15 * NS_PER_SECOND
+LEVELS_MAX_AGE_NS = 60 * NS_PER_SECOND  # older admission levels were set for a load that has passed
+UNKNOWN_AGE_NS = 1800 * NS_PER_SECOND  # assumed where the age cannot be determined
+CLOCK_TOLERANCE_NS = 5 * NS_PER_SECOND  # difference between two clocks of one host that is not reported
 NEGLIGIBLE_SHARE = 0.02  # figures of which less is left are dropped
 MIN_THROUGHPUT_PER_CAPACITY_SHARE = 0.5  # below it the figure is dropped: a smaller one would throttle a healthy fleet
 
@@ -52,10 +51,10 @@
         age_ns = now.uptime_ns - taken_at.uptime_ns
         clock_step_ns = wall_age_ns - age_ns
         if abs(clock_step_ns) > CLOCK_TOLERANCE_NS:
-            return Age(age_ns, f"the wall clock was set by {clock_step_ns / SECOND_NS:+.0f} s meanwhile")
+            return Age(age_ns, f"the wall clock was set by {clock_step_ns / NS_PER_SECOND:+.0f} s meanwhile")
         return Age(age_ns, "")
     if wall_age_ns < -CLOCK_TOLERANCE_NS:
-        seconds_ahead = -wall_age_ns / SECOND_NS
+        seconds_ahead = -wall_age_ns / NS_PER_SECOND
         return Age(UNKNOWN_AGE_NS, f"it was written {seconds_ahead:.0f} s in the future: its age is not known")
     return Age(max(0, wall_age_ns), "")
 
--- a/damsonpick/state/learned/list_confidence.py
+++ b/damsonpick/state/learned/list_confidence.py
@@ -22,14 +22,14 @@
 from typing import NamedTuple
 
 from damsonpick import interface as api
+from damsonpick.time_units import NS_PER_SECOND
 
-SECOND_NS = 1_000_000_000
-SOURCE_GRACE_NS = SECOND_NS  # for a source to answer before confidence is lowered: most do
-FRESH_AGE_NS = 120 * SECOND_NS
-MAX_AGE_NS = 86_400 * SECOND_NS
+SOURCE_GRACE_NS = NS_PER_SECOND  # for a source to answer before confidence is lowered: most do
+FRESH_AGE_NS = 120 * NS_PER_SECOND
+MAX_AGE_NS = 86_400 * NS_PER_SECOND
 MIN_FAILED_ATTEMPTS = 4  # without a success, before an endpoint is ejected
-TRIAL_INTERVAL_NS = 5 * SECOND_NS  # between trials, of one endpoint at a time
-TRIAL_BACKOFF_NS = 20 * SECOND_NS  # until the first retrial of an ejected endpoint; doubles with each ejection
+TRIAL_INTERVAL_NS = 5 * NS_PER_SECOND  # between trials, of one endpoint at a time
+TRIAL_BACKOFF_NS = 20 * NS_PER_SECOND  # until the first retrial of an ejected endpoint; doubles with each ejection
 MAX_RETRIALS = 2
 
 
--- a/damsonpick/state/load_reports.py
+++ b/damsonpick/state/load_reports.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple
 
 from damsonpick import interface as api
+from damsonpick.time_units import NS_PER_SECOND
 
-SECOND_NS = 1_000_000_000
 TIMER_TOLERANCE_SHARE = 0.5  # of a report period that clocks and timers of clients may be out
 
 
@@ -134,7 +134,7 @@
     def _period_problem(self, now: int, report: ClientReport) -> str:
         """Why a report cannot cover the time that it claims; '': it can."""
         if not 0 < report.period <= self.max_period:
-            claimed_s, max_s = report.period / SECOND_NS, self.max_period / SECOND_NS
+            claimed_s, max_s = report.period / NS_PER_SECOND, self.max_period / NS_PER_SECOND
             return f"a report over {claimed_s:.1f} s was dropped: not from 0 to {max_s:g} s"
         tolerance = TIMER_TOLERANCE_SHARE * self.report_period
         if self._accounted_until(now, report.client) + report.period > now + tolerance:
--- a/damsonpick/testing/fakes/fleet.py
+++ b/damsonpick/testing/fakes/fleet.py
@@ -24,12 +24,11 @@
 from damsonpick.testing.fakes.proxy_gateway import ProxyGateway
 from damsonpick.testing.fakes.record import Recorder
 from damsonpick.testing.fakes.request_outcome import Ending
+from damsonpick.time_units import NS_PER_MS, NS_PER_SECOND
 
 CLIENT_RETRY_DELAY_S = 0.15  # of the scenario, until a client repeats what is safe to repeat
 IDLE_POLL_S = 0.05  # of the wall clock, until a demand of nothing is looked at again
 NO_SLICE = -1
-NS_PER_SECOND = 1e9
-NS_PER_MS = 1_000_000
 # Spread (sigma of a lognormal factor) of slices' popularity, of requests' work and of gateways' shares of the traffic.
 SLICE_SPREAD, WORK_SPREAD, GATEWAY_SPREAD = 0.6, 0.4, 0.8
 NOT_RUN_ENDINGS = (Ending.REFUSED, Ending.NO_SERVER, Ending.NEVER_RAN)
--- a/damsonpick/testing/fakes/gateway.py
+++ b/damsonpick/testing/fakes/gateway.py
@@ -18,13 +18,13 @@
 from damsonpick.testing.fakes.gateway_context import GatewayContext, TrafficClass
 from damsonpick.testing.fakes.request_outcome import Ending, RequestOutcome, ended, status_ending
 from damsonpick.testing.fakes.server_picker import ServerPicker
+from damsonpick.time_units import NS_PER_MS
 
 TABLE_WAIT_NS = 500_000_000  # that a request waits for a table with an entry
 CONNECT_TIMEOUT_NS = 400_000_000
 RETRY_ON_CONNECT_FAILURE = "connect-failure"
 RETRY_ON_ANY_FAILURE = "5xx"
 NOT_RUN_HEADER = "x-not-run"
-NS_PER_MS = 1e6
 NO_LOG = structlog.wrap_logger(None, processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)])
 
 
--- a/damsonpick/testing/fakes/results_server.py
+++ b/damsonpick/testing/fakes/results_server.py
@@ -17,10 +17,9 @@
 from damsonpick.runtime.clock import Clock
 from damsonpick.testing.fakes import http
 from damsonpick.testing.fakes.record import Recorder
+from damsonpick.time_units import MS_PER_SECOND, NS_PER_MS
 
 CHANCE_WORK_MS = 1500.0  # work above the limit that a cold server stands: a few requests at once by chance
-NS_PER_MS = 1e6
-MS_PER_SECOND = 1e3
 UNAVAILABLE = http.Answer(503, {"x-not-run": "1"}, b"")
 FAILED = http.Answer(500, {}, b"")
 
--- a/damsonpick/testing/fakes/server_picker.py
+++ b/damsonpick/testing/fakes/server_picker.py
@@ -5,8 +5,9 @@
 import random
 from collections.abc import Mapping
 
+from damsonpick.time_units import NS_PER_SECOND
+
 EJECTION_MIN_S, EJECTION_MAX_S = 2.0, 6.0  # a random time between, so that gateways do not return at once
-NS_PER_SECOND = 1e9
 
 
 class ServerPicker:
--- a/damsonpick/testing/rules/cold_servers.py
+++ b/damsonpick/testing/rules/cold_servers.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from damsonpick.testing.rules.limits import NS_PER_SECOND, Limits
+from damsonpick.testing.rules.limits import Limits
 from damsonpick.testing.rules.listed_servers import ListedServers
 from damsonpick.testing.rules.observed import ObservedFleet, ObservedServer, ReceivedWork
 from damsonpick.testing.rules.records import RequestReceived, RequestSent
 from damsonpick.testing.rules.result import Breach, RuleResult
+from damsonpick.time_units import NS_PER_MS, NS_PER_SECOND
 
 CHANCE_WORK_MS = 1500.0  # work that may come above the limit by chance: a few requests at once
-NS_PER_MS = 1e6
 
 
 class ColdServersRule:
--- a/damsonpick/testing/rules/drains.py
+++ b/damsonpick/testing/rules/drains.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from damsonpick.testing.rules.limits import NS_PER_SECOND, Limits
+from damsonpick.testing.rules.limits import Limits
 from damsonpick.testing.rules.listed_servers import ListedServers
 from damsonpick.testing.rules.observed import ObservedFleet
 from damsonpick.testing.rules.records import RequestSent, StreamChanged
 from damsonpick.testing.rules.result import Breach, RuleResult
+from damsonpick.time_units import NS_PER_SECOND
 
 
 class DrainsRule:
--- a/damsonpick/testing/rules/empty_tables.py
+++ b/damsonpick/testing/rules/empty_tables.py
@@ -7,11 +7,12 @@
 
 from collections.abc import Iterable
 
-from damsonpick.testing.rules.limits import NS_PER_SECOND, Limits
+from damsonpick.testing.rules.limits import Limits
 from damsonpick.testing.rules.listed_servers import ListedServers
 from damsonpick.testing.rules.observed import ObservedFleet, ObservedGateway
 from damsonpick.testing.rules.records import ResponseRead, StreamChanged
 from damsonpick.testing.rules.result import Breach, RuleResult
+from damsonpick.time_units import NS_PER_SECOND
 
 
 class EmptyTablesRule:
--- a/damsonpick/testing/rules/limits.py
+++ b/damsonpick/testing/rules/limits.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import Literal, NamedTuple
 
-NS_PER_SECOND = 1_000_000_000
-
 Effect = Literal["read_like", "idempotency_key", "non_idempotent"]
 KeyScope = Literal["all", "zone", "cell"]
 
--- a/damsonpick/testing/rules/listed_servers.py
+++ b/damsonpick/testing/rules/listed_servers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from damsonpick.testing.rules.limits import NS_PER_SECOND
 from damsonpick.testing.rules.records import ListedServer, ListSent
+from damsonpick.time_units import NS_PER_SECOND
 
 # A large part of the servers that vanishes in one list counts as gone only after the list has said so for a while; see
 # docs/design/knowledge.md.
--- a/damsonpick/testing/scenarios/environment.py
+++ b/damsonpick/testing/scenarios/environment.py
@@ -20,9 +20,8 @@
 from damsonpick.testing.scenarios.pilot_settings import CLUSTER, pilot_settings
 from damsonpick.testing.scenarios.processes import GatewayProcesses, PilotProcess
 from damsonpick.testing.scenarios.script import Script
+from damsonpick.time_units import NS_PER_MS, NS_PER_SECOND
 
-NS_PER_SECOND = 1_000_000_000
-NS_PER_MS = 1_000_000
 CAPACITY_FACTORS = (0.8, 1.0, 1.25)
 MEAN_WORK_FACTOR = 1.083  # mean of the random factor that clients apply to a request's work
 GATEWAY_PROCESSES = 3  # what holds up one of them does not hold up all gateways together
--- a/damsonpick/testing/scenarios/faults.py
+++ b/damsonpick/testing/scenarios/faults.py
@@ -11,8 +11,8 @@
 from damsonpick.testing.fakes.results_server import FakeResultsServer
 from damsonpick.testing.scenarios.environment import Environment
 from damsonpick.testing.scenarios.script import Fault
+from damsonpick.time_units import NS_PER_SECOND
 
-NS_PER_SECOND = 1_000_000_000
 RESTART_NS = NS_PER_SECOND // 2  # that a process takes to start anew
 MAX_HOT_SLICES = 3
 MAX_HOT_SHARE = 0.9
--- a/damsonpick/testing/scenarios/outcome.py
+++ b/damsonpick/testing/scenarios/outcome.py
@@ -11,9 +11,9 @@
 
 from damsonpick.settings.model import PilotSettings
 from damsonpick.testing.rules import Checker, EffectRule, Limits, RuleResult
+from damsonpick.time_units import MS_PER_SECOND
 
 PILOT_LOG = "pilot.log"
-MS_PER_SECOND = 1e3
 LEAD_NS = 2_000_000_000  # of the scenario, before the first request counts
 
 
--- a/tests/test_import_layers.py
+++ b/tests/test_import_layers.py
@@ -10,7 +10,7 @@
 
 PACKAGE = Path(__file__).resolve().parent.parent / "damsonpick"
 LAYERS = (  # lowest first; a module imports its own group and lower layers only
-    ("interface",),
+    ("interface", "time_units"),
     ("decisions",),
     ("state",),
     ("runtime",),
