Soak: servers that only odd entries named are reported gone when the faults end

Cause: the plan's last life sends an odd entry with an empty zone. It is valid, the pilot took the server for one in service and placed a slice on it; the fake neither listed the server nor said that it is gone. The pilot was right.

Change: `end_faults` reports the servers of odd entries as gone, so the pilot has to move their slices within the same 8 s. Check and bound are as they were. The new test fails without the change.

--- a/damsonpick/testing/soak/platform.py
+++ b/damsonpick/testing/soak/platform.py
@@ -15,6 +15,7 @@
 
 SILENCE_S = 2.6  # longer than a watch may be silent
 DOWN_S = 0.5
+ODD_SERVERS = ("odd", "Odd")  # that odd entries may name
 ODD_VALUES = (["Ready"], {"Ready": 1}, None, 7, "", "Odd", [[]], 1e300)
 REQUEST_FAULTS = {
     Action.ANSWER_LOST: RequestFault.ANSWER_LOST,
@@ -53,9 +54,14 @@
         self.registry.withdrawn.clear()
 
     async def end_faults(self) -> None:
-        """End all faults and give all slices back."""
+        """End all faults, report the servers of odd entries as gone, and give all slices back.
+
+        An odd entry may still be a valid one, of a server without a zone say, that the pilot rightly believes in.
+        """
         self.registry.faults.clear()
         self.registry.silent = self.discovery.silent = self.discovery.is_down = False
+        for name in ODD_SERVERS:
+            await self.discovery.update_server(name, "Gone")
         while self._lost:
             await self._give_slice(0)
 
@@ -102,7 +108,9 @@
 
     async def _do_odd_entry(self, draw: random.Random, group: TaskGroup) -> None:
         del group
-        entry = self.discovery.entry("odd") | {draw.choice(("state", "zone", "weight", "id")): draw.choice(ODD_VALUES)}
+        entry = self.discovery.entry(ODD_SERVERS[0]) | {
+            draw.choice(("state", "zone", "weight", "id")): draw.choice(ODD_VALUES)
+        }
         await self.discovery.send_entries([entry])
 
     async def _do_half_line(self, draw: random.Random, group: TaskGroup) -> None:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import anyio
 import pytest
 
-from damsonpick.testing.soak.plan import Ending, draw_plan
+from damsonpick.testing.soak.plan import Action, Ending, Step, draw_plan
+from damsonpick.testing.soak.platform import ODD_SERVERS, SoakPlatform
 from damsonpick.testing.soak.player import play
 
 SEEDS = (1, 3, 6, 7, 8)
@@ -25,3 +28,18 @@
     plans = [draw_plan(seed) for seed in SEEDS]
     assert any(plan.strangers > 100 for plan in plans) and any(plan.odd_kept_list for plan in plans)
     assert {life.ending for plan in plans for life in plan.lives} == set(Ending)
+
+
+def test_servers_that_only_odd_entries_named_are_reported_gone_at_the_end():
+    """Seed 60: an entry without a zone is a valid one, and the pilot went on placing slices on its server."""
+
+    async def end_after_an_odd_entry():
+        platform = SoakPlatform(draw_plan(1), random.Random(1), lambda valid: None)
+        async with anyio.create_task_group() as group:
+            await platform.act(Step(0.0, Action.ODD_ENTRY, 1), group)
+            await platform.end_faults()
+        return platform.discovery
+
+    discovery = anyio.run(end_after_an_odd_entry)
+    gone = [change.entry["id"] for change in discovery.history if change.entry["state"] == "Gone"]
+    assert gone == list(ODD_SERVERS) and not set(ODD_SERVERS) & set(discovery.servers)
