An entry rejected after a request without an answer is ordered again as desired

For callers: an entry that nobody decided on stays in a table.

Cause, by a trace of all requests: SET table 1 s2 was applied by a request whose answer could not be read; sent again, the registry stopped at this order; the pilot dropped it and took the entry for absent.

Change: rejection_events notes such an entry, one that a recent request named, as unconfirmed; the next heartbeat orders it as it is desired then. One that is rejected at its first sending is not ordered again.

--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -246,8 +246,14 @@
         return True
 
     def rejection_events(self, order: Order) -> list[api.Event]:
-        """Return the table of a rejected order as it is, so that the planner decides again."""
+        """Return the table of a rejected order as it is known, so that the planner decides again.
+
+        An earlier request without an answer may have stored the entry all the same: it is ordered again then, as it is
+        desired after the next heartbeat.
+        """
         if isinstance(order, api.SetEntry) and order.table in self.tables:
+            if order.endpoint in self._uncertain.recent(order.table):
+                self._uncertain.add_unconfirmed(order.table, [order.endpoint])
             return _table_events(order.table, self.pending.overlay_entries(order.table, self.tables[order.table]))
         return []
 
--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -236,3 +236,17 @@
     registry.orders_accepted(registry.pending.acknowledge(request.orders, 2).accepted, request.ownership_epoch)
     registry.repeat_uncertain(request.orders, request.ownership_epoch)
     assert tuple(registry.pending) == orders
+
+
+@pytest.mark.parametrize("sent_before", [True, False])
+def test_an_entry_rejected_after_a_request_without_an_answer_is_ordered_again_as_desired(sent_before):
+    """Soak seed 89: the entry was stored by the unanswered request, and the pilot took it for absent."""
+    registry = owned_registry()
+    registry.pending.push([api.SetEntry(SLICE, "q", 1.0)])
+    request = registry.pending.next_request(registry.ownership.epoch)
+    if sent_before:
+        registry.repeat_uncertain(request.orders, request.ownership_epoch)  # its outcome is unknown
+    rejected = registry.pending.acknowledge(request.orders, 0).rejected
+    assert registry.rejection_events(rejected)[0] == api.SliceOwnershipChanged(SLICE, True)
+    registry.apply(registry_events.Heartbeat())
+    assert list(registry.pending) == ([api.SetEntry(SLICE, "q", 0.0)] if sent_before else [])
