The figures of a process's load are put into the log in one place

Read once more: `loop_lagged` and the daemon's `pilot_ended` formatted lag, CPU and time each for itself, with a literal 1e3; control_requests wrote out the nanoseconds of a second. `LoopLoad.log_fields` serves both, and the units come from time_units. Log lines are the same.

--- a/damsonpick/controller/control_requests.py
+++ b/damsonpick/controller/control_requests.py
@@ -13,8 +13,9 @@
 from msgspec import Meta, Struct
 
 from damsonpick.protocols.shared.validation import invalid_field
+from damsonpick.time_units import NS_PER_SECOND
 
-MAX_DURATION_NS = 10 * 365 * 86_400 * 1_000_000_000
+MAX_DURATION_NS = 10 * 365 * 86_400 * NS_PER_SECOND
 MAX_SLICE_NUMBER = 1 << 31
 MAX_ACT_NUMBER = 1 << 62
 MAX_LOGGED_VALUE = 60  # characters
--- a/damsonpick/controller/daemon.py
+++ b/damsonpick/controller/daemon.py
@@ -107,14 +107,7 @@
                 if self.settings.learned_state.enabled:
                     await components.snapshot_task.write()
             components.close()
-            load = self.loop_lag.load()
-            self.log.info(
-                "pilot_ended",
-                name=self.settings.pilot.name,
-                longest_lag_ms=round(load.longest_lag_s * 1e3),
-                cpu_s=round(load.cpu_s, 2),
-                wall_s=round(load.wall_s, 2),
-            )
+            self.log.info("pilot_ended", name=self.settings.pilot.name, **self.loop_lag.load().log_fields())
 
     def _restore(self) -> None:
         """Start the engine on what an earlier incarnation stored and learned."""
--- a/damsonpick/runtime/loop_lag.py
+++ b/damsonpick/runtime/loop_lag.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import anyio
 from structlog.typing import FilteringBoundLogger
 
+from damsonpick.time_units import MS_PER_SECOND
+
 PROBE_PERIOD_S = 0.05
 LOG_PERIOD_S = 10.0  # at most one log line in each
 LAG_LIMIT_S = 0.25  # below it a lag is not worth a line
@@ -30,6 +32,14 @@
     cpu_s: float
     wall_s: float
 
+    def log_fields(self) -> dict[str, Any]:
+        """Return the figures as the log has them."""
+        return {
+            "longest_lag_ms": round(self.longest_lag_s * MS_PER_SECOND),
+            "cpu_s": round(self.cpu_s, 2),
+            "wall_s": round(self.wall_s, 2),
+        }
+
 
 class LoopLagMonitor:
     """Measures the event loop that it runs on.
@@ -66,10 +76,9 @@
             self._longest_lag_s = max(self._longest_lag_s, longest_lag_s)
         if self._log is None or longest_lag_s < LAG_LIMIT_S:
             return
+        load = LoopLoad(longest_lag_s, time.process_time() - began_cpu_s, time.monotonic() - began_s)
         self._log.warning(
             "loop_lagged",
-            longest_lag_ms=round(longest_lag_s * 1e3),
-            cpu_s=round(time.process_time() - began_cpu_s, 2),
-            wall_s=round(time.monotonic() - began_s, 2),
+            **load.log_fields(),
             remedy="late at little CPU: give the machine more room; late at a whole core: too much work for one",
         )
