--- a/review/standins/settings.py
+++ b/review/standins/settings.py
@@ -49,7 +49,7 @@
     reports_per_s: int
     ask_every_s: float
     sole_owner: bool = False
-    even: bool = False  # equal endpoints, equal requests at equal intervals
+    even: bool = False  # equal endpoints, equal requests, and the same number of them for each slice
     discovery: str = "subscribe"
     load_fields: tuple[str, ...] = ("busy_reqs",)
 
@@ -64,7 +64,7 @@
             "workload": "control",
             "weights": "rough",
             "worthBy": "request",
-            "shapes": ["brzi-3", "siroki-5"],
+            "shapes": ["novi-stroj", "stari-stroj"],
             "grades": [_grade(request_class) for request_class in self.classes],
             "domain": self._domain(),
             "report": {"how": "answers" if self.load_fields else "none", "fields": list(self.load_fields)},
--- a/review/standins/traffic.py
+++ b/review/standins/traffic.py
@@ -50,6 +50,7 @@
         self.tries: defaultdict[tuple[int, str, str], list[float]] = defaultdict(lambda: [0, 0, 0.0])
         self.demand: defaultdict[tuple[int, int, str], list[int]] = defaultdict(lambda: [0, 0])
         self._number = 0
+        self._round: list[int] = []  # slices that still get a request in this round of equal traffic
         bound = [c for c in deployment.classes if c.own_zone]
         self._checked_classes = bound + [c for c in deployment.classes if not c.own_zone][:1]
         self._bare_since: dict[tuple[int, int, str], float] = {}
@@ -81,12 +82,14 @@
         return Call(self._number, proxy, slice_number, request_class, work_s)
 
     def _draw_even(self) -> Call:
-        """Return the next request of a round over all slices; proxies and classes change from round to round."""
+        """Return the next request of a round. A round has one request for each slice, in random order."""
         deployment = self.world.deployment
-        turn, slice_number = divmod(self._number, deployment.slices)
-        proxy = self.world.proxies[(slice_number + turn) % deployment.proxies]
-        request_class = deployment.classes[(slice_number + turn // deployment.proxies + turn) % len(deployment.classes)]
-        return Call(self._number, proxy, slice_number, request_class, deployment.work_s)
+        if not self._round:
+            self._round = list(range(deployment.slices))
+            self.random.shuffle(self._round)
+        proxy = self.world.proxies[self._number % deployment.proxies]
+        request_class = self.random.choice(deployment.classes)
+        return Call(self._number, proxy, self._round.pop(), request_class, deployment.work_s)
 
     def _arrive(self, call: Call) -> None:
         owner = self.world.store.owner[call.slice]
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -76,9 +76,9 @@
         zones = self.deployment.zones
         fast = index % 7 < 4
         name = f"s-{self.random.getrandbits(32):08x}"
-        cores, speed = (3, self.random.uniform(1.3, 1.7)) if fast else (5, self.random.uniform(0.85, 1.1))
+        cores, speed = (5, self.random.uniform(1.3, 1.7)) if fast else (4, self.random.uniform(0.85, 1.1))
         if self.deployment.even:
-            cores, speed = 4, 1.2
+            cores, speed = 5, 1.2
         endpoint = Endpoint(name, zones[index % len(zones)], cores, speed)
         self.endpoints[name] = endpoint
         return endpoint
@@ -91,7 +91,7 @@
 
     def entry(self, endpoint: Endpoint, state: str) -> Entry:
         """Return the entry of an endpoint in discovery's list."""
-        kind = "brzi-3" if endpoint.cores == 3 else "siroki-5"
+        kind = "novi-stroj" if endpoint.cores == 5 else "stari-stroj"
         fields = {"id": endpoint.name, "addr": "127.0.0.1:3000", "zone": endpoint.zone, "kind": kind, "cell": 0}
         return fields | {"state": state, "weight": 1.0, "started_ms": endpoint.started_ms}
 
