--- a/damsonpick/decisions/planner_view.py
+++ b/damsonpick/decisions/planner_view.py
@@ -119,7 +119,7 @@
     @property
     def resync_withdrawals(self) -> list[str]:
         """Names of the endpoints whose withdrawal state must be sent again."""
-        return self.publisher.resync_withdrawals
+        return self.publisher.withdrawals.resync
 
     @property
     def search(self) -> Iterator[None] | None:
--- a/damsonpick/decisions/publisher.py
+++ b/damsonpick/decisions/publisher.py
@@ -14,6 +14,7 @@
 from damsonpick.decisions.fleet_state import FleetState
 from damsonpick.decisions.flow_control import FlowControl, Urgency
 from damsonpick.decisions.slice_state import SliceState
+from damsonpick.decisions.withdrawals import WithdrawalPublisher
 
 MIN_LEVEL_ENTRIES = 2  # admission levels are sent only if more than this number of table entries remains available
 
@@ -48,7 +49,7 @@
         fleet: State that is published.
         flow_control: Flow control, which tracks the available capacity of the channel.
         resync_due: Whether the admission levels must be sent even if unchanged: at the start, and after a proxy joins.
-        resync_withdrawals: Endpoints whose withdrawal state must be sent again, since a proxy may have missed it.
+        withdrawals: Withdrawals and readmissions, with those that a joined proxy may have missed.
         moves_published: Whether all pending table changes except cleanup fitted when changes were last selected for a
             message. An advised table that is sent in parts counts as one that fitted.
         limit_warning_logged: Whether the warning that the channel's limit is too low has been logged.
@@ -57,25 +58,20 @@
     fleet: FleetState
     flow_control: FlowControl
     resync_due: bool = True
-    resync_withdrawals: list[str] = field(default_factory=list)
+    withdrawals: WithdrawalPublisher = field(init=False)
     moves_published: bool = True
     limit_warning_logged: bool = False
 
-    def apply_proxy_joined(self, event: api.ProxyJoined) -> None:
-        """Schedule the orders that a joined proxy needs.
+    def __post_init__(self) -> None:
+        """Create the publisher of withdrawals for the same fleet."""
+        self.withdrawals = WithdrawalPublisher(self.fleet)
 
-        A proxy that is not fresh may still apply withdrawals of earlier sessions, so the withdrawal states are sent
-        again. If the proxy joins this incarnation for the first time, it may also apply withdrawals of earlier
-        incarnations that this one does not know. The withdrawal state of every known endpoint is therefore sent then.
-        """
-        fleet = self.fleet
+    def apply_proxy_joined(self, event: api.ProxyJoined) -> None:
+        """Add a joined proxy to the recipients of messages, and schedule the orders that it needs."""
         self.flow_control.proxies[event.proxy] = event.zone
         self.resync_due = True
-        if not event.fresh:
-            if event.proxy not in fleet.known_proxies:
-                fleet.withdrawn = dict.fromkeys(fleet.endpoints, False) | fleet.withdrawn
-            self.resync_withdrawals = [name for name in fleet.withdrawn if name in fleet.endpoints]
-        fleet.known_proxies[event.proxy] = event.zone
+        self.withdrawals.apply_proxy_joined(event)
+        self.fleet.known_proxies[event.proxy] = event.zone
 
     def apply_proxy_left(self, event: api.ProxyLeft) -> None:
         """Remove a proxy that has left from the recipients of messages, and stop waiting for its acknowledgements."""
@@ -92,7 +88,7 @@
         Args:
             actions: List to which the orders of the message, its sync request and any warning for the log are appended.
         """
-        to_readmit = [n for n, out in self.fleet.withdrawn.items() if out and not self.fleet.is_unroutable(n)]
+        to_readmit = self.withdrawals.to_readmit()
         if not self.flow_control.proxies or not self._is_anything_pending(to_readmit):
             return
         room = [self.flow_control.available(self.fleet.now, urgency) for urgency in Urgency]
@@ -100,8 +96,9 @@
             return
         message: list[api.Action] = []
         replaced = self._replaced_endpoints()
-        withdrawn_now = self._add_withdrawals(message, room, replaced)
-        self._add_resync(message, room, withdrawn_now)
+        self.withdrawals.add_withdrawals(message, room[Urgency.CRITICAL], replaced)
+        # If table changes are pending, repeated states fill the message only up to half of the available entries.
+        self.withdrawals.add_resync(message, room[Urgency.CONTROL] / (2 if self.fleet.unpublished else 1))
         self._add_levels(message, room)
         changes = self._table_changes()
         self._add_readmissions(message, room, [n for n in to_readmit if n not in replaced])
@@ -115,7 +112,7 @@
         return bool(
             self.fleet.unpublished
             or self.resync_due
-            or self.resync_withdrawals
+            or self.withdrawals.resync
             or to_readmit
             or self.fleet.desired_levels != self.fleet.published_levels
         )
@@ -129,37 +126,6 @@
                     replaced[name] = True
         return replaced
 
-    def _add_withdrawals(
-        self, message: list[api.Action], room: list[int], replaced: dict[str, bool]
-    ) -> dict[str, bool]:
-        """Withdraw as many unroutable endpoints of `replaced` as fit, and return those withdrawn now as keys.
-
-        One order withdraws an endpoint from all tables. Changing the tables instead would take up to two entries for
-        each slice and exceed the drain grace in a large fleet. The entries of a withdrawn endpoint are removed later,
-        as cleanup.
-        """
-        fleet = self.fleet
-        due = [n for n in replaced if fleet.is_unroutable(n) and not fleet.withdrawn.get(n)]
-        names = due[: max(0, room[Urgency.CRITICAL])]
-        message += [api.SetWithdrawn(name, True) for name in names]
-        withdrawn_now = dict.fromkeys(names, True)
-        fleet.withdrawn.update(withdrawn_now)
-        if names:
-            fleet.assignments_stale = True
-        return withdrawn_now
-
-    def _add_resync(self, message: list[api.Action], room: list[int], withdrawn_now: dict[str, bool]) -> None:
-        """Send scheduled withdrawal states again.
-
-        If table changes are pending, these orders fill the message only up to half of the available entries.
-        """
-        withdrawn = self.fleet.withdrawn
-        limit = room[Urgency.CONTROL] / (2 if self.fleet.unpublished else 1)
-        while self.resync_withdrawals and len(message) < limit:
-            name = self.resync_withdrawals.pop()
-            if name in withdrawn and name not in withdrawn_now:
-                message.append(api.SetWithdrawn(name, withdrawn[name]))
-
     def _add_levels(self, message: list[api.Action], room: list[int]) -> None:
         """Send the admission level of every class if a level has changed or a proxy has joined."""
         fleet = self.fleet
@@ -178,11 +144,7 @@
         """
         if not message and room[Urgency.REBALANCE] <= 0:
             return
-        names = to_readmit[: max(0, room[Urgency.CRITICAL] - len(message))]
-        message += [api.SetWithdrawn(name, False) for name in names]
-        self.fleet.withdrawn.update(dict.fromkeys(names, False))
-        if names:
-            self.fleet.assignments_stale = True
+        self.withdrawals.add_readmissions(message, room[Urgency.CRITICAL], to_readmit)
 
     def _table_changes(self) -> list[TableChange]:
         """Return the changes of all unpublished tables, sorted by urgency and then by descending load."""
--- /dev/null
+++ b/damsonpick/decisions/withdrawals.py
@@ -0,0 +1,74 @@
+"""Withdrawals: orders that stop all proxies from sending to an endpoint, and their repetition for proxies that join.
+
+One order withdraws an endpoint from all tables. Changing the tables instead would take up to two entries for each
+slice and exceed the drain grace in a large fleet. The entries of a withdrawn endpoint are removed later, as cleanup.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from damsonpick import interface as api
+from damsonpick.decisions.fleet_state import FleetState
+
+
+@dataclass(slots=True, eq=False)
+class WithdrawalPublisher:
+    """Adds withdrawals and readmissions to messages, and records what they publish in `FleetState.withdrawn`.
+
+    Attributes:
+        fleet: State that is published.
+        resync: Endpoints whose withdrawal state must be sent again, since a proxy may apply another one.
+    """
+
+    fleet: FleetState
+    resync: list[str] = field(default_factory=list)
+
+    def apply_proxy_joined(self, event: api.ProxyJoined) -> None:
+        """Schedule the withdrawal states that a joined proxy needs.
+
+        A proxy that is not fresh may still apply withdrawals of earlier sessions, so the withdrawal states are sent
+        again. If the proxy joins this incarnation for the first time, it may also apply withdrawals of earlier
+        incarnations that this one does not know. The withdrawal state of every known endpoint is therefore sent then.
+        """
+        fleet = self.fleet
+        if event.fresh:
+            return
+        if event.proxy not in fleet.known_proxies:
+            fleet.withdrawn = dict.fromkeys(fleet.endpoints, False) | fleet.withdrawn
+        self.resync = [name for name in fleet.withdrawn if name in fleet.endpoints]
+
+    def to_readmit(self) -> list[str]:
+        """Return the withdrawn endpoints that are routable again."""
+        return [name for name, out in self.fleet.withdrawn.items() if out and not self.fleet.is_unroutable(name)]
+
+    def add_withdrawals(self, message: list[api.Action], limit: int, replaced: dict[str, bool]) -> None:
+        """Withdraw as many unroutable endpoints of `replaced` as fit.
+
+        Args:
+            message: Orders of the message, to which the withdrawals are appended.
+            limit: Largest number of orders in the message.
+            replaced: Endpoints that are published in a table but no longer assigned to its slice, as keys.
+        """
+        fleet = self.fleet
+        due = [n for n in replaced if fleet.is_unroutable(n) and not fleet.withdrawn.get(n)]
+        self._send(message, due[: max(0, limit - len(message))], True)
+
+    def add_resync(self, message: list[api.Action], limit: float) -> None:
+        """Send scheduled withdrawal states again until the message has `limit` orders."""
+        withdrawn = self.fleet.withdrawn
+        sent = {order.endpoint: True for order in message if isinstance(order, api.SetWithdrawn)}
+        while self.resync and len(message) < limit:
+            name = self.resync.pop()
+            if name in withdrawn and name not in sent:
+                message.append(api.SetWithdrawn(name, withdrawn[name]))
+
+    def add_readmissions(self, message: list[api.Action], limit: int, names: list[str]) -> None:
+        """Readmit as many of the endpoints as fit."""
+        self._send(message, names[: max(0, limit - len(message))], False)
+
+    def _send(self, message: list[api.Action], names: list[str], withdrawn: bool) -> None:
+        message += [api.SetWithdrawn(name, withdrawn) for name in names]
+        self.fleet.withdrawn.update(dict.fromkeys(names, withdrawn))
+        if names:
+            self.fleet.assignments_stale = True
