Send restarted proxies the withdrawals in force

Cause: withdrawals were repeated for proxies that come back with their state, and never for fresh ones. A fresh proxy reads stored tables that still name withdrawn endpoints; removing those entries is the least urgent change. Evidence: in the relay's record each withdrawal is ordered once, before the joins, and never again, so nothing was late in the channel.

Change: with each join of a fresh proxy the withdrawals in force count as missed, and those that a table names are repeated with the urgency of new withdrawals, an eighth of the grace later, so that proxies joining together share the message. A missed withdrawal whose endpoint no table names waits until one does (takeover). planner_state logs missed_withdrawals.

--- a/damsonpick/decisions/planner_view.py
+++ b/damsonpick/decisions/planner_view.py
@@ -116,6 +116,11 @@
         """Zone by proxy, for all proxies that have joined since the start."""
         return self.fleet.known_proxies
 
+    @property
+    def missed_withdrawals(self) -> dict[str, None]:
+        """Withdrawn endpoints, as keys, whose withdrawal a joined proxy may not have received."""
+        return self.publisher.withdrawals.missed
+
     @property
     def resync_withdrawals(self) -> list[str]:
         """Names of the endpoints whose withdrawal state must be sent again."""
--- a/damsonpick/decisions/withdrawals.py
+++ b/damsonpick/decisions/withdrawals.py
@@ -11,6 +11,9 @@
 from damsonpick import interface as api
 from damsonpick.decisions.fleet_state import FleetState
 
+# Share of the drain grace for which missed withdrawals wait for further joins, as most proxies join together.
+REPEAT_DELAY_SHARE = 0.125
+
 
 @dataclass(slots=True, eq=False)
 class WithdrawalPublisher:
@@ -18,21 +21,29 @@
 
     Attributes:
         fleet: State that is published.
+        missed: Withdrawn endpoints, as keys, whose withdrawal a joined proxy may not have received.
+        repeat_at: Time from which missed withdrawals are repeated even if no new one is sent, ns.
         resync: Endpoints whose withdrawal state must be sent again, since a proxy may apply another one.
     """
 
     fleet: FleetState
+    missed: dict[str, None] = field(default_factory=dict)
+    repeat_at: int = 0
     resync: list[str] = field(default_factory=list)
 
     def apply_proxy_joined(self, event: api.ProxyJoined) -> None:
         """Schedule the withdrawal states that a joined proxy needs.
 
+        A fresh proxy reads the stored tables, which may still name withdrawn endpoints, and applies no withdrawal. It
+        needs those of the endpoints that a table names now or, after a takeover, later.
+
         A proxy that is not fresh may still apply withdrawals of earlier sessions, so the withdrawal states are sent
         again. If the proxy joins this incarnation for the first time, it may also apply withdrawals of earlier
         incarnations that this one does not know. The withdrawal state of every known endpoint is therefore sent then.
         """
         fleet = self.fleet
         if event.fresh:
+            self._record_missed()
             return
         if event.proxy not in fleet.known_proxies:
             fleet.withdrawn = dict.fromkeys(fleet.endpoints, False) | fleet.withdrawn
@@ -43,16 +54,19 @@
         return [name for name, out in self.fleet.withdrawn.items() if out and not self.fleet.is_unroutable(name)]
 
     def add_withdrawals(self, message: list[api.Action], limit: int, replaced: dict[str, bool]) -> None:
-        """Withdraw as many unroutable endpoints of `replaced` as fit.
+        """Withdraw as many endpoints of `replaced` as fit: those newly unroutable, then those that a proxy has missed.
 
         Args:
             message: Orders of the message, to which the withdrawals are appended.
             limit: Largest number of orders in the message.
             replaced: Endpoints that are published in a table but no longer assigned to its slice, as keys.
         """
-        fleet = self.fleet
-        due = [n for n in replaced if fleet.is_unroutable(n) and not fleet.withdrawn.get(n)]
-        self._send(message, due[: max(0, limit - len(message))], True)
+        withdrawn = self.fleet.withdrawn
+        new = [n for n in replaced if self.fleet.is_unroutable(n) and not withdrawn.get(n)]
+        missed = [n for n in replaced if withdrawn.get(n) and n in self.missed]
+        if not new and self.fleet.now < self.repeat_at:
+            return
+        self._send(message, (new + missed)[: max(0, limit - len(message))], True)
 
     def add_resync(self, message: list[api.Action], limit: float) -> None:
         """Send scheduled withdrawal states again until the message has `limit` orders."""
@@ -61,14 +75,22 @@
         while self.resync and len(message) < limit:
             name = self.resync.pop()
             if name in withdrawn and name not in sent:
+                self.missed.pop(name, None)
                 message.append(api.SetWithdrawn(name, withdrawn[name]))
 
     def add_readmissions(self, message: list[api.Action], limit: int, names: list[str]) -> None:
         """Readmit as many of the endpoints as fit."""
         self._send(message, names[: max(0, limit - len(message))], False)
 
+    def _record_missed(self) -> None:
+        if self.fleet.now >= self.repeat_at:
+            self.repeat_at = self.fleet.now + int(REPEAT_DELAY_SHARE * self.fleet.settings.drain_grace)
+        self.missed.update((name, None) for name, withdrawn in self.fleet.withdrawn.items() if withdrawn)
+
     def _send(self, message: list[api.Action], names: list[str], withdrawn: bool) -> None:
-        message += [api.SetWithdrawn(name, withdrawn) for name in names]
-        self.fleet.withdrawn.update(dict.fromkeys(names, withdrawn))
-        if names:
-            self.fleet.assignments_stale = True
+        for name in names:
+            message.append(api.SetWithdrawn(name, withdrawn))
+            self.missed.pop(name, None)
+            if self.fleet.withdrawn.get(name) != withdrawn:
+                self.fleet.withdrawn[name] = withdrawn
+                self.fleet.assignments_stale = True
--- a/damsonpick/protocols/platform/state_log.py
+++ b/damsonpick/protocols/platform/state_log.py
@@ -73,6 +73,7 @@
         messages_in_flight=len(planner.flow_control.in_flight),
         pending_orders=status.pending_orders,
         unpublished_tables=len(planner.unpublished),
+        missed_withdrawals=len(planner.missed_withdrawals),
         reports=status.new_reports,
         steps=status.new_steps,
         longest_step_ms=status.longest_step_ns // NS_PER_MS,
