Repeat withdrawals for proxies that rejoin with the urgency of new ones

Cause: withdrawals for proxies that come back had the urgency of admission levels. With 12 messages in 10 s these need 1.04 s since the last message, new withdrawals 0.83 s, so nothing was repeated while an endpoint drained every 0.7 s. Messages for new withdrawals had no room for less urgent orders either. Evidence: the relay's record has six messages with one withdrawal each after the joins, and all repetitions in one message after the last drain; no call failed.

Change: with each join the withdrawals in force count as missed, which are as urgent as new ones. Readmissions and levels for joined proxies travel in any critical message as far as the channel has capacity, since the limit counts messages.

--- a/damsonpick/decisions/flow_control.py
+++ b/damsonpick/decisions/flow_control.py
@@ -104,12 +104,19 @@
         """Return the number of entries that a message may contain now. Below 1, no message may be sent."""
         if not self._window_admits(now, urgency):
             return 0
-        room = self.message_capacity(urgency, sum(message.outstanding_cost() for message in self.in_flight))
+        room = self.available_beside(urgency)
         if urgency == Urgency.CRITICAL and not self.in_flight:
             return max(room, MIN_CRITICAL_ENTRIES)
         # A message smaller than half of the maximum must wait, since small messages fill the channel with overhead.
         return room if 2 * room >= self.message_capacity(urgency, 0.0) else 0
 
+    def available_beside(self, urgency: Urgency) -> int:
+        """Return the number of entries that a message which is sent for more urgent orders may contain.
+
+        Only the channel limits it: the limit on messages in a window does not depend on their contents.
+        """
+        return self.message_capacity(urgency, sum(message.outstanding_cost() for message in self.in_flight))
+
     def message_capacity(self, urgency: Urgency, outstanding: float) -> int:
         """Return the number of entries that a message to all proxies may contain. It may be negative.
 
--- a/damsonpick/decisions/planner_view.py
+++ b/damsonpick/decisions/planner_view.py
@@ -122,8 +122,8 @@
         return self.publisher.withdrawals.missed
 
     @property
-    def resync_withdrawals(self) -> list[str]:
-        """Names of the endpoints whose withdrawal state must be sent again."""
+    def resync_withdrawals(self) -> dict[str, None]:
+        """Endpoints, as keys, whose withdrawal state must be sent again."""
         return self.publisher.withdrawals.resync
 
     @property
--- a/damsonpick/decisions/publisher.py
+++ b/damsonpick/decisions/publisher.py
@@ -97,10 +97,12 @@
         message: list[api.Action] = []
         replaced = self._replaced_endpoints()
         self.withdrawals.add_withdrawals(message, room[Urgency.CRITICAL], replaced)
+        changes = self._table_changes()
+        if message or _has_critical_change(changes, room):
+            room[Urgency.CONTROL] = max(room[Urgency.CONTROL], self.flow_control.available_beside(Urgency.CONTROL))
         # If table changes are pending, repeated states fill the message only up to half of the available entries.
         self.withdrawals.add_resync(message, room[Urgency.CONTROL] / (2 if self.fleet.unpublished else 1))
         self._add_levels(message, room)
-        changes = self._table_changes()
         self._add_readmissions(message, room, [n for n in to_readmit if n not in replaced])
         has_moves = bool(message)
         has_moves |= self._add_table_changes(message, room, changes)
@@ -208,3 +210,8 @@
         if not self.limit_warning_logged and self.flow_control.in_flight[-1].cost > limit > 0:
             self.limit_warning_logged = True
             actions.append(api.Log("the channel's limit is below one message to all proxies"))
+
+
+def _has_critical_change(changes: list[TableChange], room: list[int]) -> bool:
+    """Return whether the most urgent of the sorted changes makes a critical message due, which may be sent now."""
+    return bool(room[Urgency.CRITICAL] > 0 and changes and changes[0].urgency == Urgency.CRITICAL and changes[0].added)
--- a/damsonpick/decisions/withdrawals.py
+++ b/damsonpick/decisions/withdrawals.py
@@ -23,31 +23,31 @@
         fleet: State that is published.
         missed: Withdrawn endpoints, as keys, whose withdrawal a joined proxy may not have received.
         repeat_at: Time from which missed withdrawals are repeated even if no new one is sent, ns.
-        resync: Endpoints whose withdrawal state must be sent again, since a proxy may apply another one.
+        resync: Endpoints, as keys, whose withdrawal state must be sent again, since a proxy may apply another one.
     """
 
     fleet: FleetState
     missed: dict[str, None] = field(default_factory=dict)
     repeat_at: int = 0
-    resync: list[str] = field(default_factory=list)
+    resync: dict[str, None] = field(default_factory=dict)
 
     def apply_proxy_joined(self, event: api.ProxyJoined) -> None:
         """Schedule the withdrawal states that a joined proxy needs.
 
-        A fresh proxy reads the stored tables, which may still name withdrawn endpoints, and applies no withdrawal. It
-        needs those of the endpoints that a table names now or, after a takeover, later.
+        It may lack any withdrawal. Those of the endpoints that a table names now or, after a takeover, later are as
+        urgent as new ones: the proxy reads the stored tables, or still has its earlier ones.
 
-        A proxy that is not fresh may still apply withdrawals of earlier sessions, so the withdrawal states are sent
-        again. If the proxy joins this incarnation for the first time, it may also apply withdrawals of earlier
+        A proxy that is not fresh may also apply a withdrawal that is no longer in effect, so all withdrawal states are
+        sent again. If the proxy joins this incarnation for the first time, it may apply withdrawals of earlier
         incarnations that this one does not know. The withdrawal state of every known endpoint is therefore sent then.
         """
         fleet = self.fleet
+        self._record_missed()
         if event.fresh:
-            self._record_missed()
             return
         if event.proxy not in fleet.known_proxies:
             fleet.withdrawn = dict.fromkeys(fleet.endpoints, False) | fleet.withdrawn
-        self.resync = [name for name in fleet.withdrawn if name in fleet.endpoints]
+        self.resync = dict.fromkeys(name for name in fleet.withdrawn if name in fleet.endpoints)
 
     def to_readmit(self) -> list[str]:
         """Return the withdrawn endpoints that are routable again."""
@@ -70,13 +70,10 @@
 
     def add_resync(self, message: list[api.Action], limit: float) -> None:
         """Send scheduled withdrawal states again until the message has `limit` orders."""
-        withdrawn = self.fleet.withdrawn
-        sent = {order.endpoint: True for order in message if isinstance(order, api.SetWithdrawn)}
         while self.resync and len(message) < limit:
-            name = self.resync.pop()
-            if name in withdrawn and name not in sent:
-                self.missed.pop(name, None)
-                message.append(api.SetWithdrawn(name, withdrawn[name]))
+            name, _ = self.resync.popitem()
+            if name in self.fleet.withdrawn:
+                self._send(message, [name], self.fleet.withdrawn[name])
 
     def add_readmissions(self, message: list[api.Action], limit: int, names: list[str]) -> None:
         """Readmit as many of the endpoints as fit."""
@@ -91,6 +88,7 @@
         for name in names:
             message.append(api.SetWithdrawn(name, withdrawn))
             self.missed.pop(name, None)
+            self.resync.pop(name, None)
             if self.fleet.withdrawn.get(name) != withdrawn:
                 self.fleet.withdrawn[name] = withdrawn
                 self.fleet.assignments_stale = True
--- a/tests/decisions/test_withdrawals.py
+++ b/tests/decisions/test_withdrawals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from damsonpick import interface as api
+from damsonpick.decisions.planner import Planner
 from tests.helpers import SECOND, SimulatedFleet, entry
 
 STEP = SECOND // 4
@@ -36,6 +37,16 @@
         self.proxies.remove(proxy)
         self.handle(api.ProxyLeft(proxy))
 
+    def restart_planner(self) -> None:
+        """Replace the planner by one that knows the newest list and the stored tables. The proxies have left."""
+        self.proxies = []
+        self.planner = Planner(self.settings, 2)
+        states = {name: "terminating" if name in self.draining_since else "in_service" for name in NAMES}
+        self.handle(api.EndpointListChanged("restored", tuple(entry(name, state) for name, state in states.items())))
+        for number, table in self.tables.items():
+            entries = [api.StoredEntry(number, name, weight) for name, weight in table.items()]
+            self.handle(api.SliceOwnershipChanged(number, True), *entries)
+
     def handle(self, *events: api.Event) -> list[api.Action]:
         orders = super().handle(*events)
         for order in orders:
@@ -76,6 +87,36 @@
         assert not fleet.late()
 
 
+def test_proxies_that_rejoin_a_restarted_pilot_are_sent_its_withdrawals_within_the_grace():
+    """Regression (review, case 2): repeated withdrawals waited until no endpoint drained any more."""
+    fleet = ShrinkingFleet(proxies=15)
+    for number in range(48):
+        if number == 4:
+            fleet.restart_planner()
+        if 8 <= number < 16:
+            for proxy in range(15)[2 * number - 16 : 2 * number - 14]:
+                fleet.join(proxy, fresh=False)
+        fleet.step(number)
+        assert not fleet.late()
+
+
+def test_a_rejoined_proxy_gets_back_endpoints_while_others_drain():
+    """Regression (review, case 2): readmissions and levels, too, waited until no endpoint drained any more."""
+    fleet = ShrinkingFleet(proxies=15)
+    for number in range(48):
+        if number == 8:
+            fleet.restart_planner()
+            fleet.join(0, fresh=False)
+            fleet.step(number)
+            fleet.received[1] = {NAMES[-1]}  # withdrawn by an earlier incarnation
+            fleet.join(1, fresh=False)
+            fleet.log.clear()
+        fleet.step(number)
+        if number == 16:
+            assert NAMES[-1] not in fleet.received[1]
+            assert any(isinstance(order, api.SetAdmission) for order in fleet.log)
+
+
 def test_a_restarted_proxy_is_sent_a_withdrawal_when_a_gained_table_names_the_endpoint():
     """Regression (review, case 1, takeover): no table named the endpoint when the proxy restarted."""
     fleet = SimulatedFleet(slices=12)
