Spread critical messages over the window after a burst

Where 12 messages in 10 s are allowed, up to four critical messages go out at once and eight more 0.83 s apart; then the window was used up and a withdrawal waited for up to 3.3 s, more than the grace of 2 s.

Cause: critical messages were a twelfth of the window apart, whatever had been sent before. The messages that the window still admits are now spread over the time until the next one is free; without a burst the spacing is the same as before.

--- a/damsonpick/decisions/flow_control.py
+++ b/damsonpick/decisions/flow_control.py
@@ -176,7 +176,8 @@
         """Return whether the limit on messages in a window allows one more message.
 
         Messages are evenly spaced, since a burst would use up the messages that later withdrawals and admission levels
-        need. The first critical messages of a window need no spacing.
+        need. The first critical messages of a window need no spacing. What they use up is made up for by the spacing of
+        the rest, so that critical messages never wait for the end of the window.
         """
         window = self.settings.message_window
         while self.sent_at and self.sent_at[0] <= now - window:
@@ -186,5 +187,18 @@
         allowed = MESSAGE_SHARE[urgency] * self.settings.messages_per_window
         if len(self.sent_at) + 1 > allowed:
             return False
-        must_be_spaced = urgency != Urgency.CRITICAL or UNSPACED_DIVISOR * len(self.sent_at) > allowed
-        return not must_be_spaced or now - self.last_sent_at >= window / allowed
+        if urgency != Urgency.CRITICAL:
+            return now - self.last_sent_at >= window / allowed
+        if UNSPACED_DIVISOR * len(self.sent_at) <= allowed:
+            return True
+        return now - self.last_sent_at >= self._critical_spacing(allowed)
+
+    def _critical_spacing(self, allowed: float) -> float:
+        """Return the least time between two critical messages, ns. At least one message was sent in the window.
+
+        It spreads the messages that the window still admits over the time until the next one is free again.
+        """
+        window = self.settings.message_window
+        until_next_free = self.sent_at[0] + window - self.last_sent_at
+        unused = allowed - len(self.sent_at)
+        return max(window / allowed, until_next_free / (unused + 1))
--- a/tests/decisions/test_flow_control.py
+++ b/tests/decisions/test_flow_control.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
+
 from damsonpick import interface as api
-from tests.helpers import SECOND, SimulatedFleet, entry
+from damsonpick.decisions.flow_control import FlowControl, Urgency
+from tests.helpers import SECOND, START, SimulatedFleet, entry, settings
 
 
 def test_channel_stays_under_half_of_its_limit_without_acknowledgements():
@@ -94,3 +97,18 @@
     assert sum(isinstance(o, api.RequestSync) for o in world.log) <= 6
     world.run(6, latency=dict.fromkeys("pqrs", 900))
     assert world.levels[None, 0] < 1.0
+
+
+def test_a_burst_of_critical_messages_does_not_stop_later_ones_for_the_rest_of_the_window():
+    """Regression (review, case 2, search): after four messages at once, withdrawals waited for up to 3.3 s."""
+    site = settings(messages_per_window=12)
+    flow_control = FlowControl(site)
+    flow_control.proxies[0] = "a"
+    sent = []
+    for now in range(START, START + 40 * SECOND, SECOND // 100):
+        if flow_control.available(now, Urgency.CRITICAL) > 0:
+            flow_control.acknowledge(0, flow_control.send(now, 1, True).token)
+            sent.append(now)
+    longest_wait = max(later - earlier for earlier, later in itertools.pairwise(sent))
+    assert longest_wait <= site.drain_grace - site.max_transit
+    assert max(sum(t - 10 * SECOND < s <= t for s in sent) for t in sent) <= 12
