Send critical messages as soon as the window admits them, and count them a little longer

A withdrawal that had to wait for the limit on messages was sent at the next event or tick, up to 0.25 s after it was admitted, and a twelfth of the window after the last message although less urgent orders had left messages unused. With an exact timer (trial) the registry then saw a 13th message in 10 s, because the first one of the window had arrived 4 ms late: the limit held only by the coarse ticks.

Change: critical messages share the time until the next message of the window is free; a timer ends the wait; a message counts for 0.1 s longer than the window.

--- a/damsonpick/decisions/flow_control.py
+++ b/damsonpick/decisions/flow_control.py
@@ -10,10 +10,12 @@
 from enum import IntEnum
 
 from damsonpick import interface as api
+from damsonpick.decisions.time_units import NS_PER_SECOND
 
 SYNC_TOKEN_MODULUS = 65536
 SYNC_ENTRIES = 2  # size of the sync request at the end of each message, in table entries
 MIN_CRITICAL_ENTRIES = 2  # critical entries allowed in an empty channel even if its limit is below one message
+WINDOW_MARGIN_NS = NS_PER_SECOND // 10  # by which the times between order and sending may differ
 UNSPACED_DIVISOR = 4  # critical messages need no spacing until more than 1/4 of a window's messages are used
 
 
@@ -180,25 +182,29 @@
         the rest, so that critical messages never wait for the end of the window.
         """
         window = self.settings.message_window
-        while self.sent_at and self.sent_at[0] <= now - window:
+        while self.sent_at and self.sent_at[0] <= now - window - WINDOW_MARGIN_NS:
             self.sent_at.popleft()
         if not self.settings.messages_per_window:
             return True
         allowed = MESSAGE_SHARE[urgency] * self.settings.messages_per_window
         if len(self.sent_at) + 1 > allowed:
             return False
-        if urgency != Urgency.CRITICAL:
-            return now - self.last_sent_at >= window / allowed
-        if UNSPACED_DIVISOR * len(self.sent_at) <= allowed:
-            return True
-        return now - self.last_sent_at >= self._critical_spacing(allowed)
+        if urgency == Urgency.CRITICAL:
+            return now >= self.critical_admitted_at()
+        return now - self.last_sent_at >= window / allowed
 
-    def _critical_spacing(self, allowed: float) -> float:
-        """Return the least time between two critical messages, ns. At least one message was sent in the window.
+    def critical_admitted_at(self) -> int:
+        """Return the time (ns) from which the limit on messages in a window allows the next critical message.
 
-        It spreads the messages that the window still admits over the time until the next one is free again.
+        The messages that the window still admits are spread over the time until the next one is free again.
         """
-        window = self.settings.message_window
-        until_next_free = self.sent_at[0] + window - self.last_sent_at
-        unused = allowed - len(self.sent_at)
-        return max(window / allowed, until_next_free / (unused + 1))
+        settings = self.settings
+        if not settings.messages_per_window or not self.sent_at:
+            return 0
+        next_free_at = self.sent_at[0] + settings.message_window + WINDOW_MARGIN_NS
+        unused = settings.messages_per_window - len(self.sent_at)
+        if unused <= 0:
+            return next_free_at
+        if UNSPACED_DIVISOR * len(self.sent_at) <= settings.messages_per_window:
+            return 0
+        return self.last_sent_at + (next_free_at - self.last_sent_at) // (unused + 1)
--- a/damsonpick/decisions/publisher.py
+++ b/damsonpick/decisions/publisher.py
@@ -52,6 +52,7 @@
         withdrawals: Withdrawals and readmissions, with those that a joined proxy may have missed.
         moves_published: Whether all pending table changes except cleanup fitted when changes were last selected for a
             message. An advised table that is sent in parts counts as one that fitted.
+        timer_at: Time of the newest timer for a critical message, ns.
         limit_warning_logged: Whether the warning that the channel's limit is too low has been logged.
     """
 
@@ -60,6 +61,7 @@
     resync_due: bool = True
     withdrawals: WithdrawalPublisher = field(init=False)
     moves_published: bool = True
+    timer_at: int = 0
     limit_warning_logged: bool = False
 
     def __post_init__(self) -> None:
@@ -93,6 +95,7 @@
             return
         room = [self.flow_control.available(self.fleet.now, urgency) for urgency in Urgency]
         if max(room) < 1:
+            self._await_critical_message(actions)
             return
         message: list[api.Action] = []
         replaced = self._replaced_endpoints()
@@ -110,6 +113,13 @@
             actions += [*message, self.flow_control.send(self.fleet.now, len(message), has_moves)]
             self._warn_if_limit_too_low(actions)
 
+    def _await_critical_message(self, actions: list[api.Action]) -> None:
+        """Order a timer for the time at which the limit on messages admits a critical one, unless one is running."""
+        admitted_at = self.flow_control.critical_admitted_at()
+        if self.fleet.now < admitted_at != self.timer_at:
+            self.timer_at = admitted_at
+            actions.append(api.SetTimer(admitted_at - self.fleet.now, 0))
+
     def _is_anything_pending(self, to_readmit: list[str]) -> bool:
         return bool(
             self.fleet.unpublished
--- a/tests/decisions/test_flow_control.py
+++ b/tests/decisions/test_flow_control.py
@@ -112,3 +112,29 @@
     longest_wait = max(later - earlier for earlier, later in itertools.pairwise(sent))
     assert longest_wait <= site.drain_grace - site.max_transit
     assert max(sum(t - 10 * SECOND < s <= t for s in sent) for t in sent) <= 12
+
+
+def test_a_late_withdrawal_is_sent_as_soon_as_the_window_admits_it():
+    """Regression (review, search): a withdrawal that had to wait was sent at the next tick, up to 0.25 s later."""
+    world = SimulatedFleet([f"s{n:02}" for n in range(18)], slices=18, messages_per_window=12)
+    world.run(12)
+    expiries = []
+    for name in world.names:
+        world.now += SECOND // 1000
+        orders = world.handle(api.EndpointListChanged("update", (entry(name, "terminating"),)))
+        expiries += [world.now + order.delay for order in orders if isinstance(order, api.SetTimer)]
+        if not world.withdrawn.get(name):
+            break
+    world.now = world.planner.flow_control.critical_admitted_at()
+    assert world.now in expiries
+    world.handle(api.TimerFired(0))
+    assert world.withdrawn[name]
+
+
+def test_a_message_that_leaves_the_window_early_by_its_way_does_not_exceed_the_limit():
+    """Regression (review/3, trial): 13 messages in 10 s, as the first was carried out 4 ms later than the last."""
+    flow_control = FlowControl(settings(messages_per_window=12))
+    flow_control.proxies[0] = "a"
+    while flow_control.available(START, Urgency.CRITICAL) > 0 or len(flow_control.sent_at) < 12:
+        flow_control.acknowledge(0, flow_control.send(START, 1, True).token)
+    assert not flow_control.available(START + 10 * SECOND + SECOND // 20, Urgency.CRITICAL)
