Keep every critical message within the gap that the drain grace allows

Change: MessageWindow admits a message of any urgency only if critical messages can follow each other within the gap that the grace leaves after channel and transit, until all earlier messages have left the window. The urgencies have a module of their own, and FlowControl adds and removes proxies itself.

--- a/damsonpick/decisions/balancing_round.py
+++ b/damsonpick/decisions/balancing_round.py
@@ -77,4 +77,4 @@
             return False
         flow_control = self.publisher.flow_control
         timeout = ACKNOWLEDGEMENT_TIMEOUT_NS + 2 * self.fleet.settings.max_transit
-        return self.fleet.now - flow_control.last_sent_at > timeout or flow_control.moves_acknowledged()
+        return self.fleet.now - flow_control.window.last_sent_at > timeout or flow_control.moves_acknowledged()
--- a/damsonpick/decisions/flow_control.py
+++ b/damsonpick/decisions/flow_control.py
@@ -7,42 +7,14 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from enum import IntEnum
 
 from damsonpick import interface as api
-from damsonpick.decisions.time_units import NS_PER_SECOND
+from damsonpick.decisions.message_window import MessageWindow
+from damsonpick.decisions.urgency import LIMIT_SHARE, Urgency
 
 SYNC_TOKEN_MODULUS = 65536
 SYNC_ENTRIES = 2  # size of the sync request at the end of each message, in table entries
 MIN_CRITICAL_ENTRIES = 2  # critical entries allowed in an empty channel even if its limit is below one message
-WINDOW_MARGIN_NS = NS_PER_SECOND // 10  # by which the times between order and sending may differ
-UNSPACED_DIVISOR = 4  # critical messages need no spacing until more than 1/4 of a window's messages are used
-
-
-class Urgency(IntEnum):
-    """Urgency of an order. A lower value is more urgent."""
-
-    CRITICAL = 0  # withdrawals, and changes of tables without a routable entry
-    CONTROL = 1  # admission levels, and withdrawal states sent again because a proxy has rejoined
-    REBALANCE = 2  # moves: changes of tables that are neither critical nor cleanup
-    CLEANUP = 3  # removal of the entries of withdrawn endpoints from tables that need no other change
-
-
-# Share of the channel's limit that orders of each urgency may use. It is below half, because a message whose outcome is
-# unknown is sent again and both copies may wait in the channel. Less urgent orders leave capacity for more urgent ones.
-LIMIT_SHARE = {
-    Urgency.CRITICAL: 0.49,
-    Urgency.CONTROL: 0.49,
-    Urgency.REBALANCE: 0.48,
-    Urgency.CLEANUP: 0.4,
-}
-# Share of the messages allowed in a window that orders of each urgency may use.
-MESSAGE_SHARE = {
-    Urgency.CRITICAL: 1.0,
-    Urgency.CONTROL: 0.8,
-    Urgency.REBALANCE: 0.75,
-    Urgency.CLEANUP: 0.75,
-}
 
 
 @dataclass(slots=True, eq=False)
@@ -83,28 +55,59 @@
         settings: Settings with the limits of the channel.
         proxies: Zone by joined proxy.
         in_flight: Messages sent after the newest message that half of its recipients have acknowledged, oldest first.
-        sent_at: Send times of the messages in the last `Settings.message_window`, ns, oldest first.
-        last_sent_at: Send time of the newest message, ns.
-        last_token: Sync token of the newest message.
+        window: Limit on the messages in a window.
+        message_number: Number of messages sent, which numbers the newest one. Its sync token is the number modulo
+            `SYNC_TOKEN_MODULUS`.
+        acknowledged: Number of the newest message that each joined proxy has acknowledged since it joined.
         last_move_token: Sync token of the newest message that contained more than cleanup.
     """
 
     settings: api.Settings
     proxies: dict[int, str] = field(default_factory=dict)
     in_flight: deque[InFlightMessage] = field(default_factory=deque)
-    sent_at: deque[int] = field(default_factory=deque)
-    last_sent_at: int = 0
-    last_token: int = 0
+    window: MessageWindow = field(init=False)
+    message_number: int = 0
+    acknowledged: dict[int, int] = field(default_factory=dict)
     last_move_token: int = 0
 
+    def __post_init__(self) -> None:
+        """Create an empty window."""
+        self.window = MessageWindow(self.settings)
+
+    @property
+    def last_token(self) -> int:
+        """Sync token of the newest message."""
+        return self.message_number % SYNC_TOKEN_MODULUS
+
     @property
     def message_overhead(self) -> float:
         """Size of a message in addition to its orders, in table entries."""
         return self.settings.message_overhead + SYNC_ENTRIES
 
+    def add_proxy(self, proxy: int, zone: str, fresh: bool) -> None:
+        """Add a joined proxy to the recipients of messages.
+
+        A fresh proxy has no table from before the messages sent so far, so it counts as one that has applied them.
+        """
+        self.proxies[proxy] = zone
+        self.acknowledged[proxy] = self.message_number if fresh else 0
+
+    def remove_proxy(self, proxy: int) -> None:
+        """Remove a proxy that has left from the recipients of messages, and stop waiting for its acknowledgements."""
+        self.proxies.pop(proxy, None)
+        self.acknowledged.pop(proxy, None)
+        self.acknowledge(proxy, None)
+
+    def acknowledged_by_all(self) -> int:
+        """Return the number of the newest message that each joined proxy has acknowledged, itself or with a later one.
+
+        It is the number of the newest message if no proxy has joined.
+        """
+        return min(self.acknowledged.values(), default=self.message_number)
+
     def available(self, now: int, urgency: Urgency) -> int:
         """Return the number of entries that a message may contain now. Below 1, no message may be sent."""
-        if not self._window_admits(now, urgency):
+        if not self.window.admits(now, urgency):
             return 0
         room = self.available_beside(urgency)
         if urgency == Urgency.CRITICAL and not self.in_flight:
@@ -150,13 +153,12 @@
             The sync request that ends the message. It is addressed to all proxies, since a withdrawal alone may concern
             no proxy and would then never be acknowledged.
         """
-        self.last_token = (self.last_token + 1) % SYNC_TOKEN_MODULUS
+        self.message_number += 1
         if moves:
             self.last_move_token = self.last_token
         cost = len(self.proxies) * (self.message_overhead + entries)
         self.in_flight.append(InFlightMessage(self.last_token, cost, len(self.proxies), dict(self.proxies)))
-        self.sent_at.append(now)
-        self.last_sent_at = now
+        self.window.record(now)
         return api.RequestSync(self.last_token, True)
 
     def acknowledge(self, proxy: int, token: int | None) -> None:
@@ -165,6 +167,9 @@
         A message is no longer in flight once at least half of its recipients have acknowledged it or left. Proxies
         apply messages in order, so all earlier messages are then no longer in flight either.
         """
+        if token is not None and proxy in self.acknowledged:
+            number = self.message_number - (self.message_number - token) % SYNC_TOKEN_MODULUS
+            self.acknowledged[proxy] = max(number, self.acknowledged[proxy])
         acknowledged_count = 0
         for position, message in enumerate(self.in_flight, start=1):
             if token is None or token == message.token:
@@ -173,38 +178,3 @@
                 acknowledged_count = position
         for _ in range(acknowledged_count):
             self.in_flight.popleft()
-
-    def _window_admits(self, now: int, urgency: Urgency) -> bool:
-        """Return whether the limit on messages in a window allows one more message.
-
-        Messages are evenly spaced, since a burst would use up the messages that later withdrawals and admission levels
-        need. The first critical messages of a window need no spacing. What they use up is made up for by the spacing of
-        the rest, so that critical messages never wait for the end of the window.
-        """
-        window = self.settings.message_window
-        while self.sent_at and self.sent_at[0] <= now - window - WINDOW_MARGIN_NS:
-            self.sent_at.popleft()
-        if not self.settings.messages_per_window:
-            return True
-        allowed = MESSAGE_SHARE[urgency] * self.settings.messages_per_window
-        if len(self.sent_at) + 1 > allowed:
-            return False
-        if urgency == Urgency.CRITICAL:
-            return now >= self.critical_admitted_at()
-        return now - self.last_sent_at >= window / allowed
-
-    def critical_admitted_at(self) -> int:
-        """Return the time (ns) from which the limit on messages in a window allows the next critical message.
-
-        The messages that the window still admits are spread over the time until the next one is free again.
-        """
-        settings = self.settings
-        if not settings.messages_per_window or not self.sent_at:
-            return 0
-        next_free_at = self.sent_at[0] + settings.message_window + WINDOW_MARGIN_NS
-        unused = settings.messages_per_window - len(self.sent_at)
-        if unused <= 0:
-            return next_free_at
-        if UNSPACED_DIVISOR * len(self.sent_at) <= settings.messages_per_window:
-            return 0
-        return self.last_sent_at + (next_free_at - self.last_sent_at) // (unused + 1)
--- a/damsonpick/decisions/publisher.py
+++ b/damsonpick/decisions/publisher.py
@@ -70,15 +70,14 @@
 
     def apply_proxy_joined(self, event: api.ProxyJoined) -> None:
         """Add a joined proxy to the recipients of messages, and schedule the orders that it needs."""
-        self.flow_control.proxies[event.proxy] = event.zone
+        self.flow_control.add_proxy(event.proxy, event.zone, event.fresh)
         self.resync_due = True
         self.withdrawals.apply_proxy_joined(event)
         self.fleet.known_proxies[event.proxy] = event.zone
 
     def apply_proxy_left(self, event: api.ProxyLeft) -> None:
         """Remove a proxy that has left from the recipients of messages, and stop waiting for its acknowledgements."""
-        self.flow_control.proxies.pop(event.proxy, None)
-        self.flow_control.acknowledge(event.proxy, None)
+        self.flow_control.remove_proxy(event.proxy)
 
     def apply_acknowledgement(self, event: api.SyncAcknowledged) -> None:
         """Record that a proxy has applied a message."""
@@ -115,7 +114,7 @@
 
     def _await_critical_message(self, actions: list[api.Action]) -> None:
         """Order a timer for the time at which the limit on messages admits a critical one, unless one is running."""
-        admitted_at = self.flow_control.critical_admitted_at()
+        admitted_at = self.flow_control.window.next_critical_at
         if self.fleet.now < admitted_at != self.timer_at:
             self.timer_at = admitted_at
             actions.append(api.SetTimer(admitted_at - self.fleet.now, 0))
--- a/tests/decisions/test_flow_control.py
+++ b/tests/decisions/test_flow_control.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import itertools
+import random
+
+import pytest
 
 from damsonpick import interface as api
 from damsonpick.decisions.flow_control import FlowControl, Urgency
@@ -103,7 +106,7 @@
     """Regression (review, case 2, search): after four messages at once, withdrawals waited for up to 3.3 s."""
     site = settings(messages_per_window=12)
     flow_control = FlowControl(site)
-    flow_control.proxies[0] = "a"
+    flow_control.add_proxy(0, "a", True)
     sent = []
     for now in range(START, START + 40 * SECOND, SECOND // 100):
         if flow_control.available(now, Urgency.CRITICAL) > 0:
@@ -125,7 +128,7 @@
         expiries += [world.now + order.delay for order in orders if isinstance(order, api.SetTimer)]
         if not world.withdrawn.get(name):
             break
-    world.now = world.planner.flow_control.critical_admitted_at()
+    world.now = world.planner.flow_control.window.next_critical_at
     assert world.now in expiries
     world.handle(api.TimerFired(0))
     assert world.withdrawn[name]
@@ -134,7 +137,29 @@
 def test_a_message_that_leaves_the_window_early_by_its_way_does_not_exceed_the_limit():
     """Regression (review/3, trial): 13 messages in 10 s, as the first was carried out 4 ms later than the last."""
     flow_control = FlowControl(settings(messages_per_window=12))
-    flow_control.proxies[0] = "a"
-    while flow_control.available(START, Urgency.CRITICAL) > 0 or len(flow_control.sent_at) < 12:
+    flow_control.add_proxy(0, "a", True)
+    while flow_control.available(START, Urgency.CRITICAL) > 0 or len(flow_control.window.sent_at) < 12:
         flow_control.acknowledge(0, flow_control.send(START, 1, True).token)
     assert not flow_control.available(START + 10 * SECOND + SECOND // 20, Urgency.CRITICAL)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_withdrawal_never_waits_longer_than_the_grace_allows(seed):
+    """Regression (model, seeds 50 and 91): after a long series of drains the window admitted nothing for 2.9 s."""
+    site = settings(messages_per_window=12, max_transit=3 * SECOND // 10, channel_rate=12000.0)
+    flow_control = FlowControl(site)
+    flow_control.add_proxy(0, "a", True)
+    rng = random.Random(seed)
+    due_at: int | None = None
+    longest_wait = 0
+    for now in range(START, START + 120 * SECOND, SECOND // 50):
+        rate = 4.0 if (now // (10 * SECOND)) % 2 else 0.3  # drains/s
+        if due_at is None and rng.random() < rate / 50:
+            due_at = now
+        urgency = Urgency.CRITICAL if due_at is not None else Urgency.REBALANCE
+        if flow_control.available(now, urgency) > 0:
+            flow_control.acknowledge(0, flow_control.send(now, 1, True).token)
+            longest_wait = max(longest_wait, now - (due_at or now))
+            due_at = None
+    channel_wait = int(0.5 * site.channel_limit / site.channel_rate * SECOND)
+    assert longest_wait <= site.drain_grace - site.max_transit - channel_wait + SECOND // 50
