Hand a slice with a sole owner over only when writes to the former owner have ended

Cause: a move was one order, SetEntry for the new owner, whatever the proxies still sent and the old owner still held; write_linger and write_lease were read by nothing. Evidence: the relay's record has one SET for a slice, the breaches lie between its arrival at the first and the last proxy or within one request's time after it.

Change: the table is cleared first, in the store as well. The new entry follows when each joined proxy has acknowledged that, the leases of lost proxies have ended and writes in progress have ended. Where these last long, a level of 0 stops writes first and the table serves reads until the drain grace requires the withdrawal. A stored entry thus always names the only endpoint that may have writes, so restarted pilots, takeovers and joining proxies may trust it.

--- a/damsonpick/controller/engine.py
+++ b/damsonpick/controller/engine.py
@@ -264,7 +264,8 @@
         for action in actions:
             if not isinstance(action, api.TableOrder):
                 continue
-            if isinstance(action, api.SetEntry | api.ClearTable) and action.table not in self.owned:
+            table = action.table if isinstance(action, api.SetEntry | api.ClearTable | api.SetAdmission) else None
+            if table is not None and table not in self.owned:
                 continue
             orders.append(action)
         return orders
--- a/damsonpick/decisions/balancing_round.py
+++ b/damsonpick/decisions/balancing_round.py
@@ -70,10 +70,12 @@
     def _earlier_moves_are_settled(self) -> bool:
         """Return whether all earlier moves have been sent, and have been acknowledged or are overdue.
 
+        Where slices have a sole owner, all handovers must have ended as well.
+
         Moves count as acknowledged once half of the recipients have acknowledged their message or a later one. They are
         overdue when the timeout has passed since the newest message of any kind.
         """
-        if not self.publisher.moves_published:
+        if not self.publisher.moves_published or self.publisher.handovers.in_progress():
             return False
         flow_control = self.publisher.flow_control
         timeout = ACKNOWLEDGEMENT_TIMEOUT_NS + 2 * self.fleet.settings.max_transit
--- a/damsonpick/decisions/endpoint_list.py
+++ b/damsonpick/decisions/endpoint_list.py
@@ -75,7 +75,7 @@
         named = {entry.endpoint: True for entry in entries}
         for endpoint in self.fleet.endpoints.values():
             if endpoint.state != "unlisted" and endpoint.name not in named:
-                endpoint.state = "terminated"
+                endpoint.set_state(self.fleet.now, "terminated")
 
     def _apply_entry(self, entry: api.EndpointEntry) -> None:
         endpoint = self.fleet.endpoints.setdefault(entry.endpoint, EndpointState(entry.endpoint))
@@ -87,5 +87,5 @@
             if endpoint.restored_share:  # the snapshot describes another process
                 endpoint.capacity_factor = 1.0
         endpoint.started = entry.started
-        endpoint.state = entry.state
+        endpoint.set_state(self.fleet.now, entry.state)
         endpoint.weight = entry.weight if entry.weight > 0 else 1.0
--- a/damsonpick/decisions/endpoint_state.py
+++ b/damsonpick/decisions/endpoint_state.py
@@ -67,6 +67,7 @@
     Attributes:
         name: Address that identifies the endpoint.
         state: State in the endpoint list; `unlisted` while only a stored table entry names the endpoint.
+        unroutable_since: Time at which the list first said that the endpoint drains or is gone, ns; 0 if it never did.
         weight: Listed weight, relative to other endpoints.
         started: Start time of the process, ns; 0 if it was long ago.
         capacity_factor: Learned correction of the weight, 1 for the fleet's median. It is kept when the process
@@ -87,6 +88,7 @@
 
     name: str
     state: EndpointListing = "unlisted"
+    unroutable_since: int = 0
     weight: float = 1.0
     started: int = 0
     capacity_factor: float = 1.0
@@ -101,6 +103,12 @@
     last_report_at: int = 0
     zone_views: dict[str, ZoneView] = field(default_factory=dict)
 
+    def set_state(self, now: int, state: api.EndpointStatus) -> None:
+        """Apply the state that the list says at time `now` (ns)."""
+        if state != "in_service" and self.state in ("in_service", "unlisted"):
+            self.unroutable_since = now
+        self.state = state
+
     def reset_outcomes(self) -> None:
         """Discard all reports, which describe an earlier process with the same name."""
         self.attempts = self.failures = self.latency = self.response_rate = 0.0
--- a/damsonpick/decisions/flow_control.py
+++ b/damsonpick/decisions/flow_control.py
@@ -58,7 +58,9 @@
         window: Limit on the messages in a window.
         message_number: Number of messages sent, which numbers the newest one. Its sync token is the number modulo
             `SYNC_TOKEN_MODULUS`.
-        acknowledged: Number of the newest message that each joined proxy has acknowledged since it joined.
+        acknowledged: Number of the newest message whose effect each joined proxy is known to have, by proxy.
+        newest_acknowledged: Number of the newest message that any proxy has acknowledged.
+        unaddressed: Joined proxies, as keys, to which no message was sent since they joined.
         last_move_token: Sync token of the newest message that contained more than cleanup.
     """
 
@@ -68,6 +70,8 @@
     window: MessageWindow = field(init=False)
     message_number: int = 0
     acknowledged: dict[int, int] = field(default_factory=dict)
+    newest_acknowledged: int = 0
+    unaddressed: dict[int, None] = field(default_factory=dict)
     last_move_token: int = 0
 
     def __post_init__(self) -> None:
@@ -84,27 +88,30 @@
         """Size of a message in addition to its orders, in table entries."""
         return self.settings.message_overhead + SYNC_ENTRIES
 
-    def add_proxy(self, proxy: int, zone: str, fresh: bool) -> None:
-        """Add a joined proxy to the recipients of messages.
-
-        A fresh proxy has no table from before the messages sent so far, so it counts as one that has applied them.
-        """
+    def add_proxy(self, proxy: int, zone: str) -> None:
+        """Add a joined proxy to the recipients of messages."""
         self.proxies[proxy] = zone
-        self.acknowledged[proxy] = self.message_number if fresh else 0
+        self.acknowledged[proxy] = 0
+        self.unaddressed[proxy] = None
 
     def remove_proxy(self, proxy: int) -> None:
         """Remove a proxy that has left from the recipients of messages, and stop waiting for its acknowledgements."""
         self.proxies.pop(proxy, None)
         self.acknowledged.pop(proxy, None)
+        self.unaddressed.pop(proxy, None)
         self.acknowledge(proxy, None)
 
     def acknowledged_by_all(self) -> int:
-        """Return the number of the newest message that each joined proxy has acknowledged, itself or with a later one.
+        """Return the number of the newest message whose effect all joined proxies have.
 
         It is the number of the newest message if no proxy has joined.
         """
         return min(self.acknowledged.values(), default=self.message_number)
 
+    def acknowledge_implicitly(self, proxy: int, number: int) -> None:
+        """Record that a joined proxy has the effect of a message because it has read the stored tables after it."""
+        self.acknowledged[proxy] = max(number, self.acknowledged[proxy])
+
     def available(self, now: int, urgency: Urgency) -> int:
         """Return the number of entries that a message may contain now. Below 1, no message may be sent."""
         if not self.window.admits(now, urgency):
@@ -159,6 +166,7 @@
         cost = len(self.proxies) * (self.message_overhead + entries)
         self.in_flight.append(InFlightMessage(self.last_token, cost, len(self.proxies), dict(self.proxies)))
         self.window.record(now)
+        self.unaddressed.clear()
         return api.RequestSync(self.last_token, True)
 
     def acknowledge(self, proxy: int, token: int | None) -> None:
@@ -170,6 +178,7 @@
         if token is not None and proxy in self.acknowledged:
             number = self.message_number - (self.message_number - token) % SYNC_TOKEN_MODULUS
             self.acknowledged[proxy] = max(number, self.acknowledged[proxy])
+            self.newest_acknowledged = max(number, self.newest_acknowledged)
         acknowledged_count = 0
         for position, message in enumerate(self.in_flight, start=1):
             if token is None or token == message.token:
--- a/damsonpick/decisions/message_window.py
+++ b/damsonpick/decisions/message_window.py
@@ -13,6 +13,15 @@
 WINDOW_MARGIN_NS = NS_PER_SECOND // 10  # by which the times between order and sending may differ
 
 
+def critical_send_limit(settings: api.Settings) -> int:
+    """Return the time (ns) within which a withdrawal must be sent so that proxies apply it within the drain grace.
+
+    It waits for the messages in the channel, and then for its transit.
+    """
+    channel_wait_s = LIMIT_SHARE[Urgency.CRITICAL] * settings.channel_limit / settings.channel_rate
+    return settings.drain_grace - settings.max_transit - int(channel_wait_s * NS_PER_SECOND)
+
+
 @dataclass(slots=True, eq=False)
 class MessageWindow:
     """Determines when the next message may be sent.
@@ -73,10 +82,8 @@
     def _critical_gap(self) -> int:
         """Return the longest time between two critical messages with which the drain grace is kept, ns.
 
-        A withdrawal waits for it, then for the messages in the channel, and then for its transit. If that would be less
-        than the time between evenly spaced messages, it is this time.
+        If that would be less than the time between evenly spaced messages, it is this time.
         """
         settings = self.settings
         even = (settings.message_window + WINDOW_MARGIN_NS) // settings.messages_per_window + 1
-        channel_wait_s = LIMIT_SHARE[Urgency.CRITICAL] * settings.channel_limit / settings.channel_rate
-        return max(even, settings.drain_grace - settings.max_transit - int(channel_wait_s * NS_PER_SECOND))
+        return max(even, critical_send_limit(settings))
--- a/damsonpick/decisions/placement.py
+++ b/damsonpick/decisions/placement.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from damsonpick.decisions import capacity, slice_demand, slow_start
+from damsonpick.decisions import capacity, handover, slice_demand, slow_start
 from damsonpick.decisions.fleet_state import FleetState
 from damsonpick.decisions.slice_state import SliceState
 
@@ -34,12 +34,14 @@
         """Return the endpoints to which a slice may be assigned, with their capacities.
 
         A slice whose demand is not known yet may be hot. It is not assigned to a warming endpoint unless all endpoints
-        are warming up.
+        are warming up. A slice with a sole owner is not given back to a former one unless there is no other.
         """
+        allowed = {n: c for n, c in self.capacities.items() if handover.may_be_given(self.fleet, slice_state, n)}
+        allowed = allowed or self.capacities
         if not slice_demand.is_newly_owned(self.fleet, slice_state):
-            return self.capacities
-        warm = {n: c for n, c in self.capacities.items() if not slow_start.is_warming_up(self.fleet, n)}
-        return warm or self.capacities
+            return allowed
+        warm = {n: c for n, c in allowed.items() if not slow_start.is_warming_up(self.fleet, n)}
+        return warm or allowed
 
     def least_loaded(self, candidates: dict[str, float], added_load: float) -> str:
         """Return the candidate that would have the lowest load ratio if it received the added load.
--- a/damsonpick/decisions/planner_view.py
+++ b/damsonpick/decisions/planner_view.py
@@ -116,6 +116,11 @@
         """Zone by proxy, for all proxies that have joined since the start."""
         return self.fleet.known_proxies
 
+    @property
+    def handover_count(self) -> int:
+        """Number of slices whose sole owner is being changed."""
+        return len(self.publisher.handovers.in_progress())
+
     @property
     def missed_withdrawals(self) -> dict[str, None]:
         """Withdrawn endpoints, as keys, whose withdrawal a joined proxy may not have received."""
--- a/damsonpick/decisions/publisher.py
+++ b/damsonpick/decisions/publisher.py
@@ -8,36 +8,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from damsonpick import interface as api
+from damsonpick.decisions import handover
 from damsonpick.decisions.fleet_state import FleetState
 from damsonpick.decisions.flow_control import FlowControl, Urgency
-from damsonpick.decisions.slice_state import SliceState
+from damsonpick.decisions.handover_tracker import HandoverTracker
+from damsonpick.decisions.table_changes import RETRY_ON_PROOF, TableChange, due_changes
 from damsonpick.decisions.withdrawals import WithdrawalPublisher
 
 MIN_LEVEL_ENTRIES = 2  # admission levels are sent only if more than this number of table entries remains available
 
-# Retry mode of all classes: one retry at another endpoint if the request was provably not executed. It is safe for
-# requests that are not idempotent, and no work is done twice.
-RETRY_ON_PROOF = 1
-
-
-class TableChange(NamedTuple):
-    """Changes that bring a slice's published table closer to its desired table.
-
-    Attributes:
-        urgency: Urgency of the change.
-        added: Endpoints whose entry is missing or has another weight.
-        removed: Endpoints whose entry must be removed.
-        slice_state: The slice.
-    """
-
-    urgency: Urgency
-    added: list[str]
-    removed: list[str]
-    slice_state: SliceState
-
 
 @dataclass(slots=True, eq=False)
 class Publisher:
@@ -50,6 +31,7 @@
         flow_control: Flow control, which tracks the available capacity of the channel.
         resync_due: Whether the admission levels must be sent even if unchanged: at the start, and after a proxy joins.
         withdrawals: Withdrawals and readmissions, with those that a joined proxy may have missed.
+        handovers: Changes of the sole owner of a slice.
         moves_published: Whether all pending table changes except cleanup fitted when changes were last selected for a
             message. An advised table that is sent in parts counts as one that fitted.
         timer_at: Time of the newest timer for a critical message, ns.
@@ -60,23 +42,27 @@
     flow_control: FlowControl
     resync_due: bool = True
     withdrawals: WithdrawalPublisher = field(init=False)
+    handovers: HandoverTracker = field(init=False)
     moves_published: bool = True
     timer_at: int = 0
     limit_warning_logged: bool = False
 
     def __post_init__(self) -> None:
-        """Create the publisher of withdrawals for the same fleet."""
+        """Create the parts that publish withdrawals and track handovers for the same fleet."""
         self.withdrawals = WithdrawalPublisher(self.fleet)
+        self.handovers = HandoverTracker(self.fleet, self.flow_control)
 
     def apply_proxy_joined(self, event: api.ProxyJoined) -> None:
         """Add a joined proxy to the recipients of messages, and schedule the orders that it needs."""
-        self.flow_control.add_proxy(event.proxy, event.zone, event.fresh)
+        self.flow_control.add_proxy(event.proxy, event.zone)
+        self.handovers.apply_proxy_joined(event)
         self.resync_due = True
         self.withdrawals.apply_proxy_joined(event)
         self.fleet.known_proxies[event.proxy] = event.zone
 
     def apply_proxy_left(self, event: api.ProxyLeft) -> None:
         """Remove a proxy that has left from the recipients of messages, and stop waiting for its acknowledgements."""
+        self.handovers.apply_proxy_left(event.proxy)
         self.flow_control.remove_proxy(event.proxy)
 
     def apply_acknowledgement(self, event: api.SyncAcknowledged) -> None:
@@ -89,6 +75,7 @@
         Args:
             actions: List to which the orders of the message, its sync request and any warning for the log are appended.
         """
+        self.handovers.update(actions)
         to_readmit = self.withdrawals.to_readmit()
         if not self.flow_control.proxies or not self._is_anything_pending(to_readmit):
             return
@@ -96,11 +83,20 @@
         if max(room) < 1:
             self._await_critical_message(actions)
             return
+        message, has_moves = self._build_message(room, to_readmit)
+        if message:
+            actions += [*message, self.flow_control.send(self.fleet.now, len(message), has_moves)]
+            self._warn_if_limit_too_low(actions)
+
+    def _build_message(self, room: list[int], to_readmit: list[str]) -> tuple[list[api.Action], bool]:
+        """Return the orders that fit into a message, and whether any of them is more than cleanup."""
         message: list[api.Action] = []
+        spacing = self.flow_control.window.spacing_after_message(self.fleet.now)
         replaced = self._replaced_endpoints()
-        self.withdrawals.add_withdrawals(message, room[Urgency.CRITICAL], replaced)
-        changes = self._table_changes()
-        if message or _has_critical_change(changes, room):
+        to_withdraw = [name for name in replaced if handover.must_withdraw(self.fleet, name, spacing)]
+        self.withdrawals.add_withdrawals(message, room[Urgency.CRITICAL], to_withdraw)
+        changes = due_changes(self.fleet, self.handovers, spacing)
+        if message or self._is_critical_message_due(changes, room):
             room[Urgency.CONTROL] = max(room[Urgency.CONTROL], self.flow_control.available_beside(Urgency.CONTROL))
         # If table changes are pending, repeated states fill the message only up to half of the available entries.
         self.withdrawals.add_resync(message, room[Urgency.CONTROL] / (2 if self.fleet.unpublished else 1))
@@ -108,9 +104,14 @@
         self._add_readmissions(message, room, [n for n in to_readmit if n not in replaced])
         has_moves = bool(message)
         has_moves |= self._add_table_changes(message, room, changes)
-        if message:
-            actions += [*message, self.flow_control.send(self.fleet.now, len(message), has_moves)]
-            self._warn_if_limit_too_low(actions)
+        return message, has_moves
+
+    def _is_critical_message_due(self, changes: list[TableChange], room: list[int]) -> bool:
+        """Return whether the most urgent of the sorted changes, or a handover, needs a message that may be sent now."""
+        if room[Urgency.CRITICAL] <= 0:
+            return False
+        has_critical_change = changes and changes[0].urgency == Urgency.CRITICAL and changes[0].orders()
+        return bool(has_critical_change) or self.handovers.awaits_joined_proxies()
 
     def _await_critical_message(self, actions: list[api.Action]) -> None:
         """Order a timer for the time at which the limit on messages admits a critical one, unless one is running."""
@@ -157,59 +158,38 @@
             return
         self.withdrawals.add_readmissions(message, room[Urgency.CRITICAL], to_readmit)
 
-    def _table_changes(self) -> list[TableChange]:
-        """Return the changes of all unpublished tables, sorted by urgency and then by descending load."""
-        changes = [self._table_change(slice_state) for slice_state in self.fleet.unpublished.values()]
-        changes.sort(key=lambda c: (c.urgency, -c.slice_state.load, c.slice_state.number))
-        return changes
-
-    def _table_change(self, slice_state: SliceState) -> TableChange:
-        """Determine the change that a table needs, and its urgency.
-
-        If all entries of a table are unroutable or withdrawn, the change only adds its new entries. The entries of
-        endpoints that are both withdrawn and unroutable are removed when the table needs no other change.
-        """
-        fleet, published = self.fleet, slice_state.published
-        added = [n for n in slice_state.assigned if published.get(n) != slice_state.desired_weight(n)]
-        if all(fleet.is_unroutable(n) or fleet.withdrawn.get(n) for n in published):
-            return TableChange(Urgency.CRITICAL, added, [], slice_state)
-        removed: list[str] = []
-        if not fleet.settings.sole_owner:  # a sole owner's entry replaces the previous entry
-            removed = [n for n in published if n not in slice_state.assigned]
-        routable = [n for n in removed if not (fleet.withdrawn.get(n) and fleet.is_unroutable(n))]
-        if added or routable:
-            return TableChange(Urgency.REBALANCE, added, routable, slice_state)
-        return TableChange(Urgency.CLEANUP, added, removed, slice_state)
-
     def _add_table_changes(self, message: list[api.Action], room: list[int], changes: list[TableChange]) -> bool:
         """Add the changes that fit and record them as published. Return whether any of them is more than cleanup."""
         has_moves = False
         self.moves_published = True
         for change in changes:
-            slice_state, removed = change.slice_state, change.removed
-            space = room[change.urgency] - len(message) - len(removed)
-            added = change.added
-            if slice_state.externally_assigned:  # the table may exceed one message; later messages add the rest
-                added = added[: max(0, space)]
-            if len(message) + len(added) + len(removed) <= room[change.urgency]:
+            if change.slice_state.externally_assigned:  # the table may exceed a message; later messages add the rest
+                space = room[change.urgency] - len(message) - len(change.removed)
+                change = change._replace(added=change.added[: max(0, space)])
+            orders = change.orders()
+            if len(message) + len(orders) <= room[change.urgency]:
                 has_moves = has_moves or change.urgency != Urgency.CLEANUP
-                number = slice_state.number
-                message += [api.SetEntry(number, n, slice_state.desired_weight(n)) for n in added]
-                message += [api.SetEntry(number, n, 0.0) for n in removed]
-                self._record_published(slice_state, added, removed)
+                message += orders
+                self._record_published(change)
             elif change.urgency != Urgency.CLEANUP:
                 self.moves_published = False
         return has_moves
 
-    def _record_published(self, slice_state: SliceState, added: list[str], removed: list[str]) -> None:
+    def _record_published(self, change: TableChange) -> None:
         """Update a slice's published entries after a change was sent, and `fleet.unpublished` if they are in sync."""
-        if self.fleet.settings.sole_owner:
-            entries = {n: slice_state.desired_weight(n) for n in slice_state.assigned}
+        slice_state = change.slice_state
+        if change.cleared:
+            self.handovers.clear(slice_state)
+        elif change.write_level == 0:
+            self.handovers.stop_writes(slice_state)
+        elif change.write_level is not None:
+            slice_state.write_level_unknown = False
         else:
-            entries = {n: weight for n, weight in slice_state.published.items() if n not in removed}
-            sent = [n for n in slice_state.assigned if n in added or n in entries]
+            entries = {n: weight for n, weight in slice_state.published.items() if n not in change.removed}
+            sent = [n for n in slice_state.assigned if n in change.added or n in entries]
             entries.update((n, slice_state.desired_weight(n)) for n in sent)
-        slice_state.published = entries
+            slice_state.published = entries
+            slice_state.handover = None
         if not slice_state.is_out_of_sync():
             del self.fleet.unpublished[slice_state.number]
 
@@ -219,8 +199,3 @@
         if not self.limit_warning_logged and self.flow_control.in_flight[-1].cost > limit > 0:
             self.limit_warning_logged = True
             actions.append(api.Log("the channel's limit is below one message to all proxies"))
-
-
-def _has_critical_change(changes: list[TableChange], room: list[int]) -> bool:
-    """Return whether the most urgent of the sorted changes makes a critical message due, which may be sent now."""
-    return bool(room[Urgency.CRITICAL] > 0 and changes and changes[0].urgency == Urgency.CRITICAL and changes[0].added)
--- a/damsonpick/decisions/search.py
+++ b/damsonpick/decisions/search.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Iterable, Iterator
 
-from damsonpick.decisions import capacity, slice_demand
+from damsonpick.decisions import capacity, handover, slice_demand
 from damsonpick.decisions.cluster_copy import ClusterCopy, CostTerms, Move
 from damsonpick.decisions.fleet_state import FleetState
 
@@ -157,8 +157,8 @@
     def _is_allowed(self, move: Move) -> bool:
         """Return whether a replica may move to an endpoint.
 
-        An endpoint may have at most one replica of a slice. A warming endpoint accepts load up to its limit, and no
-        slice whose demand is not known yet.
+        An endpoint may have at most one replica of a slice, and none of a slice of which it is a former sole owner. A
+        warming endpoint accepts load up to its limit, and no slice whose demand is not known yet.
         """
         copy = self.copy
         replica, target = move
@@ -169,7 +169,10 @@
                 return False
             if slice_demand.is_newly_owned(self.fleet, slice_state):
                 return False
-        return target == copy.start_of[replica] or copy.names[target] not in slice_state.assigned
+        if target == copy.start_of[replica]:
+            return True
+        name = copy.names[target]
+        return name not in slice_state.assigned and handover.may_be_given(self.fleet, slice_state, name)
 
     def _apply_moves(self) -> None:
         """Apply the moves to the assignments.
--- a/damsonpick/decisions/slice_ownership.py
+++ b/damsonpick/decisions/slice_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from damsonpick import interface as api
+from damsonpick.decisions import handover
 from damsonpick.decisions.admission import AdmissionController
 from damsonpick.decisions.endpoint_state import EndpointState
 from damsonpick.decisions.fleet_state import FleetState
@@ -20,7 +21,9 @@
     fleet.slices.pop(event.slice, None)
     fleet.unpublished.pop(event.slice, None)
     if event.owned:
-        fleet.slices[event.slice] = SliceState(event.slice, list(fleet.mean_rates), fleet.now)
+        slice_state = SliceState(event.slice, list(fleet.mean_rates), fleet.now)
+        slice_state.write_level_unknown = handover.stops_writes_first(fleet.settings)
+        fleet.slices[event.slice] = slice_state
         admission.hold_limit()
     if count_before and fleet.slices:
         admission.scale_limit(len(fleet.slices), count_before)
--- a/damsonpick/decisions/slice_state.py
+++ b/damsonpick/decisions/slice_state.py
@@ -7,6 +7,27 @@
 MIN_LOAD = 0.01  # requests/s added to the load of each slice, so that a slice without demand has a small load
 
 
+@dataclass(slots=True, eq=False)
+class Handover:
+    """The change of a slice's sole owner, until the entry of the new owner is published.
+
+    Attributes:
+        stop_message: Number of the message that stops the writes; None if none does, or if a proxy has joined since
+            that may have read the old entry without the order.
+        clear_message: Number of the message that clears the table; None if it is not cleared yet.
+        ready_at: Time from which the new owner may have an entry, ns; None while a proxy may send writes to the former
+            owner.
+    """
+
+    stop_message: int | None = None
+    clear_message: int | None = None
+    ready_at: int | None = None
+
+    def first_message(self) -> int | None:
+        """Return the number of the message that stops the writes or clears the table, whichever was sent first."""
+        return self.clear_message if self.stop_message is None else self.stop_message
+
+
 @dataclass(slots=True, eq=False)
 class SliceState:
     """One owned slice.
@@ -22,6 +43,10 @@
         warmth: Degree to which each endpoint's cache contains the slice, 0 to 1, by endpoint.
         advised_weights: Entry weights calculated by the solver; an endpoint without one has weight 1.
         externally_assigned: Whether the whole table was calculated by the solver. Balancing rounds do not change it.
+        handover: The handover in progress, on sites with a sole owner. It is kept while the slice has no assignment.
+        writes_stopped_at: Time of the last order that stopped the writes of the table, ns; None if there was none.
+        write_level_unknown: Whether a joined proxy may still apply an order that stopped the writes of the table.
+        former_owners: Time (ns) at which the table was cleared, by endpoint that was the sole owner until then.
     """
 
     number: int
@@ -34,6 +59,10 @@
     warmth: dict[str, float] = field(default_factory=dict)
     advised_weights: dict[str, float] = field(default_factory=dict)
     externally_assigned: bool = False
+    handover: Handover | None = None
+    writes_stopped_at: int | None = None
+    write_level_unknown: bool = False
+    former_owners: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Initialize the report times of all classes to 0 (no report)."""
@@ -55,7 +84,9 @@
         return self.advised_weights.get(endpoint, 1.0)
 
     def is_out_of_sync(self) -> bool:
-        """Return whether the published entries differ from the assigned endpoints or from an advised weight."""
+        """Return whether the published entries or the table's levels differ from what they should be."""
+        if self.write_level_unknown:
+            return True
         if self.published.keys() != dict.fromkeys(self.assigned).keys():
             return True
         return any(self.published.get(name, weight) != weight for name, weight in self.advised_weights.items())
--- a/damsonpick/decisions/warm_restart.py
+++ b/damsonpick/decisions/warm_restart.py
@@ -48,5 +48,5 @@
     admission.best_throughput = event.best_throughput
     admission.levels_restored = True
     for name in event.withdrawn:
-        fleet.endpoints.setdefault(name, EndpointState(name, "terminated"))
+        fleet.endpoints.setdefault(name, EndpointState(name, "terminated", fleet.now))
     fleet.assignments_stale = True
--- a/damsonpick/decisions/withdrawals.py
+++ b/damsonpick/decisions/withdrawals.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from damsonpick import interface as api
@@ -53,13 +54,13 @@
         """Return the withdrawn endpoints that are routable again."""
         return [name for name, out in self.fleet.withdrawn.items() if out and not self.fleet.is_unroutable(name)]
 
-    def add_withdrawals(self, message: list[api.Action], limit: int, replaced: dict[str, bool]) -> None:
+    def add_withdrawals(self, message: list[api.Action], limit: int, replaced: Sequence[str]) -> None:
         """Withdraw as many endpoints of `replaced` as fit: those newly unroutable, then those that a proxy has missed.
 
         Args:
             message: Orders of the message, to which the withdrawals are appended.
             limit: Largest number of orders in the message.
-            replaced: Endpoints that are published in a table but no longer assigned to its slice, as keys.
+            replaced: Endpoints that are published in a table but no longer assigned to its slice.
         """
         withdrawn = self.fleet.withdrawn
         new = [n for n in replaced if self.fleet.is_unroutable(n) and not withdrawn.get(n)]
--- a/damsonpick/interface.py
+++ b/damsonpick/interface.py
@@ -6,8 +6,7 @@
 
 The interface covers the simulator's protocol in full. The planner ignores the events `ProbeResult`, `PeerMessage` and
 `ProxyDemand`, and never emits the actions `BindTable`, `FetchEndpointList`, `Probe` and `SendToPeer`. It does not read
-the settings `instance`, `instances`, `zone`, `proxies`, `channel_rate`, `drain_grace`, `load_fields`,
-`balancing_policy`, `write_linger` and `write_lease`.
+the settings `instance`, `instances`, `zone`, `channel_rate`, `load_fields` and `balancing_policy`.
 """
 
 from __future__ import annotations
@@ -27,7 +26,8 @@
 
     `latency_objective`, `deadline` and `key_window` are in nanoseconds. `effect` defines whether a request may be
     executed twice: always, only with the same idempotency key within `key_window` and `key_scope`, or never.
-    `priority_weight` is the value of one served request of the class relative to requests of other classes.
+    `priority_weight` is the value of one served request of the class relative to requests of other classes. `writes`
+    is whether its requests write, which matters where a slice has a sole owner.
     """
 
     name: str
@@ -37,6 +37,7 @@
     key_scope: KeyScope
     key_window: int
     priority_weight: float
+    writes: bool = True
 
 
 class Settings(NamedTuple):
@@ -62,10 +63,11 @@
     drain_grace: int  # time within which every proxy must stop sending to a draining endpoint
     cold_capacity_share: float  # share of its warm capacity that a newly started endpoint has
     warm_up_time: int  # time from the start of an endpoint to its full capacity
-    write_linger: int  # maximum time that a proxy may delay a write before it forwards it
-    write_lease: int  # time for which a proxy that lost its stream continues to write
+    write_linger: int  # time within which a write that a proxy has accepted ends
+    write_lease: int  # time for which a proxy goes on writing after its stream broke or the slice changed its instance
     load_fields: tuple[str, ...]
     balancing_policy: BalancingPolicy
+    unserved_limit: int = 0  # longest time for which a joined proxy may lack an entry for a slice; 0 if not limited
 
 
 # -- events
--- a/damsonpick/protocols/platform/pending_orders.py
+++ b/damsonpick/protocols/platform/pending_orders.py
@@ -158,6 +158,8 @@
         """Add orders in the given sequence. Each replaces an older order for the same object (see the module)."""
         for order in orders:
             if isinstance(order, TableChange):
+                if isinstance(order, api.ClearTable):
+                    self._discard_table_levels(order.table)
                 self._get_or_add_table(order.table).push(order)
                 continue
             key = order_key(order)
@@ -168,9 +170,21 @@
                 self.by_key.pop(key, None)
             self.by_key[key] = order
 
+    def repeat_clear(self, order: api.ClearTable) -> bool:
+        """Add an order that clears a table before all pending orders for its entries. Return whether none was pending.
+
+        The pending orders for entries are newer than the repeated order, so they stay.
+        """
+        pending = self._get_or_add_table(order.table)
+        if pending.clear is not None:
+            return False
+        pending.clear = order
+        return True
+
     def discard_table(self, table: int) -> None:
-        """Remove all pending orders for a table, because its ownership has changed."""
+        """Remove all pending orders for a table, because its ownership has changed, which resets its levels as well."""
         self.by_key.pop(TableKey(table), None)
+        self._discard_table_levels(table)
 
     def is_entry_pending(self, table: int, endpoint: str) -> bool:
         """Return whether an order for this entry is pending."""
@@ -257,6 +271,11 @@
                 apply_admission(desired, order, self.class_count)
         return tuple(desired.get(class_index, 1.0) for class_index in range(self.class_count))
 
+    def _discard_table_levels(self, table: int) -> None:
+        """Remove pending admission levels of a table: sent after the event that removes its levels, they would stay."""
+        for key in [key for key in self.by_key if isinstance(key, AdmissionKey) and key.table == table]:
+            del self.by_key[key]
+
     def _pending_table(self, table: int) -> PendingTable | None:
         pending = self.by_key.get(TableKey(table))
         return pending if isinstance(pending, PendingTable) else None
--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -104,19 +104,30 @@
         self._confirm_entries()
         return []
 
-    def _reconcile_table(self, slice_number: int, entries: TableEntries) -> list[api.Event]:
-        desired = self.pending.overlay_entries(slice_number, entries)
+    def _reconcile_table(self, slice_number: int, stored: TableEntries) -> list[api.Event]:
         known = self.tables.get(slice_number)
+        entries = stored if known is None else self._newest_entries(slice_number, known, stored)
         self.tables[slice_number] = entries
-        if known is not None:  # orders that were accepted before the snapshot was read may be newer than the snapshot
-            recent = self._uncertain.recent_endpoints(slice_number)
-            differing = [name for name in recent if known.get(name, 0.0) != entries.get(name, 0.0)]
-            self._uncertain.add_unconfirmed(slice_number, differing)
         # The tables are compared with pending orders applied, as the registry may already have applied these orders.
+        desired = self.pending.overlay_entries(slice_number, entries)
         if known is not None and self.pending.overlay_entries(slice_number, known) == desired:
             return []
         return _table_events(slice_number, desired)
 
+    def _newest_entries(self, slice_number: int, known: TableEntries, stored: TableEntries) -> TableEntries:
+        """Return the entries of a snapshot, but recent entries as they are known.
+
+        Orders that were accepted before the snapshot was read may be newer than the snapshot. The planner counts on
+        them: with a sole owner, it would otherwise give the table back to the former owner. Entries that differ are
+        ordered again.
+        """
+        recent = self._uncertain.recent_endpoints(slice_number)
+        differing = [name for name in recent if known.get(name, 0.0) != stored.get(name, 0.0)]
+        self._uncertain.add_unconfirmed(slice_number, differing)
+        entries = {name: weight for name, weight in stored.items() if name not in differing}
+        entries.update((name, known[name]) for name in differing if name in known)
+        return entries
+
     def _reconcile_proxies(self, joined: dict[int, Proxy], gap: bool) -> list[api.Event]:
         known = self.proxies
         unchanged: dict[int, Proxy] = {}
@@ -248,13 +259,14 @@
     def _repeat_order(self, order: TableChange) -> bool:
         """Repeat an order, unless this order or a newer order for the same entry is pending.
 
-        Instead of an order that clears the table, the desired weights of all known entries are ordered.
+        An order that clears the table is sent before newer orders for its entries. The known entries may be older than
+        the order, so their weights are not ordered again: with a sole owner, a former owner would get its entry back.
 
         Returns:
             Whether any order was added.
         """
         if isinstance(order, api.ClearTable):
-            return self._order_entries(order.table, list(self.tables[order.table]))
+            return self.pending.repeat_clear(order)
         if self.pending.is_entry_pending(order.table, order.endpoint):
             return False
         self.pending.push([order])
@@ -282,8 +294,10 @@
     def _apply_table_change(self, order: TableChange) -> None:
         if isinstance(order, api.SetEntry):
             apply_entry(self.tables[order.table], order)
-        else:
-            self.tables[order.table].clear()
+            return
+        for endpoint in self.tables[order.table]:
+            self._uncertain.add_recent(order.table, endpoint)
+        self.tables[order.table].clear()
 
     def _apply_withdrawal(self, order: api.SetWithdrawn) -> None:
         self.withdrawn.pop(order.endpoint, None)
--- a/damsonpick/protocols/platform/rejected_orders.py
+++ b/damsonpick/protocols/platform/rejected_orders.py
@@ -5,8 +5,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from damsonpick import interface as api
 from damsonpick.protocols.platform.order_codec import Order
-from damsonpick.protocols.platform.pending_orders import OrderKey, order_key
+from damsonpick.protocols.platform.pending_orders import AdmissionKey, OrderKey, order_key
 
 MAX_RESENDS = 12  # resends of a rejected order; at the next rejection it is dropped
 FIRST_RESEND_DELAY_S = 0.1
@@ -51,10 +52,16 @@
         return True
 
     def supersede(self, orders: Iterable[Order]) -> None:
-        """Remove the rejected orders that newer orders replace."""
+        """Remove the rejected orders that newer orders replace. Clearing a table also removes its admission levels."""
         for order in orders:
-            self._waiting.pop(order_key(order), None)
-            self._attempts.pop(order_key(order), None)
+            superseded = [order_key(order)]
+            if isinstance(order, api.ClearTable):
+                superseded += [
+                    key for key in self._waiting if isinstance(key, AdmissionKey) and key.table == order.table
+                ]
+            for key in superseded:
+                self._waiting.pop(key, None)
+                self._attempts.pop(key, None)
 
     def take_due(self, now_s: float) -> list[Order]:
         """Remove the orders whose delay has passed and return them."""
--- a/damsonpick/protocols/platform/state_log.py
+++ b/damsonpick/protocols/platform/state_log.py
@@ -74,6 +74,7 @@
         pending_orders=status.pending_orders,
         unpublished_tables=len(planner.unpublished),
         missed_withdrawals=len(planner.missed_withdrawals),
+        handovers=planner.handover_count,
         reports=status.new_reports,
         steps=status.new_steps,
         longest_step_ms=status.longest_step_ns // NS_PER_MS,
--- a/damsonpick/protocols/shared/instance_settings.py
+++ b/damsonpick/protocols/shared/instance_settings.py
@@ -162,6 +162,21 @@
             return False
         raise SettingError.invalid(path, "neither true nor false", value)
 
+    def flags(self, path: str, count: int) -> tuple[bool, ...]:
+        """Return Boolean values that are given as a JSON list or as text separated by commas.
+
+        Missing values, and all values if the setting is absent, are True.
+
+        Raises:
+            SettingError: The setting is neither a list nor text, or a value is neither true nor false.
+        """
+        value = self._value(path, "")
+        parts = [part for part in value.split(",") if part] if isinstance(value, str) else value
+        if not isinstance(parts, list) or any(part not in (True, False, "true", "false") for part in parts):
+            raise SettingError.invalid(path, "not a list of true and false", value)
+        given = [part in (True, "true") for part in parts[:count]]
+        return (*given, *[True] * (count - len(given)))
+
     def _value(self, path: str, default: Any) -> Any:
         value = self._values.get(path)
         if value is not None and value != "-":
@@ -209,11 +224,12 @@
     """
     get = SettingsReader(values)
     class_count = get.integer("grades.count", minimum=1, maximum=MAX_CLASSES)
+    writes = get.flags("domain.classWrites", class_count)
     return api.Settings(
         instance=get.integer("me"),
         instances=get.integer("peersTotal", minimum=1),
         zone=get.text("zone", ""),
-        classes=tuple(_read_class(get, f"grades.{index}.") for index in range(class_count)),
+        classes=tuple(_read_class(get, f"grades.{index}.", writes[index]) for index in range(class_count)),
         slices=get.integer("domain.shards", maximum=MAX_TABLES),  # 0 for no slices
         proxies=get.integer("domain.agents", maximum=MAX_PROXIES),
         sole_owner=get.flag("domain.soleOwner"),
@@ -234,6 +250,7 @@
         write_lease=get.integer("domain.leaseNs", 0),
         load_fields=get.names("report.fields"),
         balancing_policy=get.choice("domain.pick", get_args(api.BalancingPolicy), "lottery"),
+        unserved_limit=get.integer("domain.unservedMaxNs", 0),
     )
 
 
@@ -246,7 +263,7 @@
     return SettingsReader(values).names("zones")
 
 
-def _read_class(get: SettingsReader, prefix: str) -> api.RequestClass:
+def _read_class(get: SettingsReader, prefix: str, writes: bool) -> api.RequestClass:
     return api.RequestClass(
         name=get.text(prefix + "name"),
         latency_objective=get.integer(prefix + "aimNs", minimum=1),
@@ -255,4 +272,5 @@
         key_scope=get.choice(prefix + "keyScope", get_args(api.KeyScope), "all"),
         key_window=get.integer(prefix + "windowNs", 0),
         priority_weight=get.number(prefix + "worth", 1.0),
+        writes=writes,
     )
--- a/damsonpick/settings/model.py
+++ b/damsonpick/settings/model.py
@@ -292,4 +292,5 @@
         key_scope=settings.key_scope,
         key_window=settings.key_window,
         priority_weight=settings.priority_weight,
+        writes=settings.writes,
     )
--- a/damsonpick/state/history/pin.py
+++ b/damsonpick/state/history/pin.py
@@ -2,8 +2,8 @@
 
 While the tables are pinned, the planner's changes of tables are held back, except those that safety requires. These are
 the removal of an unroutable endpoint's entry if the slice has another routable entry, and an entry for a slice that has
-no routable one. Withdrawals and admission levels pass. If levels were rolled back too, actions that only raise levels
-are held back.
+no routable one, or the order that clears its table before it gets another sole owner. Withdrawals and admission levels
+pass. If levels were rolled back too, actions that only raise levels are held back.
 """
 
 from __future__ import annotations
@@ -96,6 +96,11 @@
                 passes = _is_required_for_safety(action, entries, is_unroutable)
                 if passes:
                     _apply(action, entries)
+            elif isinstance(action, api.ClearTable):
+                entries = tables_after.setdefault(action.table, dict(tables.get(action.table, {})))
+                passes = all(is_unroutable(name) for name in entries)
+                if passes:
+                    entries.clear()
             else:
                 passes = not self._holds_back(action, admitted_share, class_count)
             if passes:
@@ -107,12 +112,7 @@
     def _holds_back(
         self, action: api.Action, admitted_share: Callable[[int | None, int], float], class_count: int
     ) -> bool:
-        """Return whether an action other than `SetEntry` is held back.
-
-        An action is held back if it clears a table, or if it raises capped admission levels and lowers none.
-        """
-        if isinstance(action, api.ClearTable):
-            return True
+        """Return whether an action that changes no table is held back: it raises capped levels and lowers none."""
         if not (self.caps_levels and isinstance(action, api.SetAdmission)):
             return False
         shares = [admitted_share(action.table, index) for index in action.classes or range(class_count)]
--- a/tests/decisions/test_flow_control.py
+++ b/tests/decisions/test_flow_control.py
@@ -106,7 +106,7 @@
     """Regression (review, case 2, search): after four messages at once, withdrawals waited for up to 3.3 s."""
     site = settings(messages_per_window=12)
     flow_control = FlowControl(site)
-    flow_control.add_proxy(0, "a", True)
+    flow_control.add_proxy(0, "a")
     sent = []
     for now in range(START, START + 40 * SECOND, SECOND // 100):
         if flow_control.available(now, Urgency.CRITICAL) > 0:
@@ -137,7 +137,7 @@
 def test_a_message_that_leaves_the_window_early_by_its_way_does_not_exceed_the_limit():
     """Regression (review/3, trial): 13 messages in 10 s, as the first was carried out 4 ms later than the last."""
     flow_control = FlowControl(settings(messages_per_window=12))
-    flow_control.add_proxy(0, "a", True)
+    flow_control.add_proxy(0, "a")
     while flow_control.available(START, Urgency.CRITICAL) > 0 or len(flow_control.window.sent_at) < 12:
         flow_control.acknowledge(0, flow_control.send(START, 1, True).token)
     assert not flow_control.available(START + 10 * SECOND + SECOND // 20, Urgency.CRITICAL)
@@ -148,7 +148,7 @@
     """Regression (model, seeds 50 and 91): after a long series of drains the window admitted nothing for 2.9 s."""
     site = settings(messages_per_window=12, max_transit=3 * SECOND // 10, channel_rate=12000.0)
     flow_control = FlowControl(site)
-    flow_control.add_proxy(0, "a", True)
+    flow_control.add_proxy(0, "a")
     rng = random.Random(seed)
     due_at: int | None = None
     longest_wait = 0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -106,6 +106,8 @@
                     table[order.endpoint] = order.weight
                 else:
                     table.pop(order.endpoint, None)
+            elif isinstance(order, api.ClearTable):
+                self.tables[order.table] = {}
             elif isinstance(order, api.SetWithdrawn):
                 self.withdrawn[order.endpoint] = order.withdrawn
             elif isinstance(order, api.SetAdmission):
--- a/tests/test_history_rollback.py
+++ b/tests/test_history_rollback.py
@@ -93,6 +93,16 @@
     assert slice_entries({"slice/1": {"line a": 2.0, "level 0": 0.5}}, 1) == {"a": 2.0}
 
 
+def test_pin_lets_a_sole_owner_that_is_unroutable_be_replaced():
+    """Regression (review, case 3, daemon): the clearing was held back, and the table had two owners afterwards."""
+    pin = Pin()
+    pin.set(3, 100)
+    tables = {0: {"a": 1.0}, 1: {"b": 1.0}}
+    orders = [api.ClearTable(0), order(0, "c", 1.0), api.ClearTable(0), api.ClearTable(1), order(1, "c", 1.0)]
+    passed, held_back = pin.filter_actions(orders, tables, lambda name: name == "a", lambda table, k: 0.0)
+    assert passed == [api.ClearTable(0), order(0, "c", 1.0)] and held_back == 3
+
+
 def test_rolled_back_levels_may_fall_and_not_rise_until_the_pin_ends():
     published = PublishedTables(("page", "tally"), 2)
     published.apply([api.SetAdmission(None, (0, 1), 0.5, 1), api.SetAdmission(1, (1,), 0.25, 0)])
--- a/tests/test_instance_settings.py
+++ b/tests/test_instance_settings.py
@@ -14,7 +14,14 @@
 from damsonpick.decisions.planner import Planner
 from damsonpick.protocols.platform.config import parse_config
 from damsonpick.protocols.platform.errors import ConfigError
-from damsonpick.protocols.shared.instance_settings import INTEGER_LIMIT, MAX_PROXIES, MAX_TABLES, NUMBER_LIMIT
+from damsonpick.protocols.shared.instance_settings import (
+    INTEGER_LIMIT,
+    MAX_PROXIES,
+    MAX_TABLES,
+    NUMBER_LIMIT,
+    SettingError,
+    SettingsReader,
+)
 from tests.helpers import SECOND, START, entry
 from tests.platform_world import ROOT, SETTINGS, config, free_port
 
@@ -140,3 +147,23 @@
     logged = json.loads(line)
     assert done.returncode == 2 and logged["event"] == "pilot_start_failed"
     assert f"{path}: not between" in logged["reason"] and str(value) in logged["reason"]
+
+
+@pytest.mark.parametrize(
+    "value, expected",
+    [
+        ("false,true", (False, True)),
+        ([False, True], (False, True)),
+        ([False], (False, True)),
+        ("-", (True, True)),
+        ("maybe", None),
+        (7, None),
+    ],
+)
+def test_flags_are_read_as_list_or_text_and_default_to_true(value, expected):
+    reader = SettingsReader({"path": value})
+    if expected is None:
+        with pytest.raises(SettingError):
+            reader.flags("path", 2)
+    else:
+        assert reader.flags("path", 2) == expected
--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -239,6 +239,46 @@
     assert tuple(registry.pending) == orders
 
 
+def accept(registry, *orders):
+    """Let the registry accept orders in a request of their own."""
+    registry.pending.push(orders)
+    request = registry.pending.next_request(registry.ownership.epoch)
+    accepted = registry.pending.acknowledge(request.orders, len(request.orders)).accepted
+    registry.apply_accepted_orders(accepted, request.ownership_epoch)
+    registry.repeat_uncertain(request.orders, request.ownership_epoch)
+
+
+def snapshot_of(entries):
+    snapshot = WatchSnapshot()
+    snapshot.tables[SLICE] = entries
+    return snapshot
+
+
+@pytest.mark.parametrize("newer", [(), (api.SetEntry(SLICE, "q", 1.0),)])
+def test_a_clearing_accepted_beside_a_gap_in_the_watch_stays_wanted(newer):
+    """Regression (review, case 3, lost calls): the former owner got its entry back after the table was cleared."""
+    registry = owned_registry()
+    clear = api.ClearTable(SLICE)
+    registry.pending.push([clear])
+    request = registry.pending.next_request(registry.ownership.epoch)
+    assert registry.reconcile(snapshot_of({"p": 1.0})) == []
+    registry.apply_accepted_orders(registry.pending.acknowledge(request.orders, 1).accepted, request.ownership_epoch)
+    registry.pending.push(newer)
+    registry.repeat_uncertain(request.orders, request.ownership_epoch)
+    assert tuple(registry.pending) == (clear, *newer)
+
+
+@pytest.mark.parametrize("gap", [True, False])
+def test_a_snapshot_older_than_a_handover_does_not_bring_the_former_owner_back(gap):
+    """Regression (review, case 3, moved watches): the planner kept the former owner while proxies wrote to the new."""
+    registry = owned_registry()
+    accept(registry, api.ClearTable(SLICE))
+    accept(registry, api.SetEntry(SLICE, "q", 1.0))
+    assert registry.reconcile(snapshot_of({"p": 1.0}), gap) == []
+    registry.apply(registry_events.Heartbeat())
+    assert set(registry.pending) == {api.SetEntry(SLICE, "q", 1.0), api.SetEntry(SLICE, "p", 0.0)}
+
+
 @pytest.mark.parametrize("sent_before", [True, False])
 def test_an_entry_rejected_after_a_request_without_an_answer_is_ordered_again_as_desired(sent_before):
     """Regression (soak seed 89): a request without a response had stored the entry, but the pilot assumed it absent."""
--- a/tests/test_platform_pending_orders.py
+++ b/tests/test_platform_pending_orders.py
@@ -4,11 +4,13 @@
 
 import json
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from damsonpick import interface as api
 from damsonpick.protocols.platform.pending_orders import MAX_REQUEST_BYTES, PendingOrders
+from damsonpick.protocols.platform.rejected_orders import RejectedOrders
 from damsonpick.protocols.platform.stored_state import apply_entry
 
 ORDERS = st.one_of(
@@ -133,3 +135,25 @@
     )
     pending.push([api.SetWithdrawn("p", True)])
     assert tuple(pending)[4] == api.SetWithdrawn("p", True)
+
+
+@pytest.mark.parametrize("remove", ["clear", "change of ownership"])
+def test_a_level_of_a_table_is_not_sent_after_the_event_that_removes_it(remove):
+    """Regression (review, case 3, lost calls): the level 0 that stops writes would hold after the handover."""
+    pending = PendingOrders(("x", "y"))
+    stop = api.SetAdmission(3, (1,), 0.0, 1)
+    elsewhere = api.SetAdmission(4, (1,), 0.0, 1)
+    pending.push([stop, elsewhere])
+    if remove == "clear":
+        pending.push([api.ClearTable(3)])
+    else:
+        pending.discard_table(3)
+    assert stop not in list(pending) and elsewhere in list(pending)
+
+
+def test_a_rejected_level_of_a_table_is_not_resent_after_the_table_is_cleared():
+    """Regression (review, case 3, rejected calls): the level 0 that stops writes would hold after the handover."""
+    rejected = RejectedOrders()
+    rejected.add(api.SetAdmission(3, (1,), 0.0, 1), now_s=0.0)
+    rejected.supersede([api.ClearTable(3)])
+    assert rejected.take_due(now_s=60.0) == []
