Let acknowledgements that a failed planner asked for not count for the next one

When a planner fails within a running process, the next one numbers its messages from 1 again, so a late acknowledgement of the failed planner's message 7, as from a stalled proxy, counted for the new message 7. Handovers of sole owners rest on acknowledgements now: a slice could be given away while that proxy still wrote to the former owner.

Cause: tokens on the platform's wire differ between processes only, and the daemon's sessions kept the old tokens. Change: a new planner's tokens follow the last one sent; pending requests of the failed planner are dropped, and sessions await its tokens no more.

--- a/damsonpick/controller/engine.py
+++ b/damsonpick/controller/engine.py
@@ -135,9 +135,10 @@
 
         If the new planner replaces a planner of this process, its first events include the connected clients, so all
         queued client events are dropped. Otherwise only acknowledgements are dropped, because the new planner did not
-        issue their sync tokens.
+        issue their sync tokens. Later acknowledgements of these tokens do not count either.
         """
         manager = self.session_manager
+        manager.discard_sync_tokens()
         if replaces_planner:
             manager.events = []
         else:
--- a/damsonpick/protocols/platform/order_codec.py
+++ b/damsonpick/protocols/platform/order_codec.py
@@ -78,6 +78,7 @@
         """
         self.class_names = class_names
         self.token_offset = token_offset
+        self._newest_wire_token = token_offset
 
     def encode(self, order: Order) -> bytes:
         """Encode one order as JSON."""
@@ -87,6 +88,10 @@
         """Map a sync token on the wire to the token of the planner."""
         return (wire_token - self.token_offset) % SYNC_TOKEN_RANGE
 
+    def start_planner(self) -> None:
+        """Give the sync tokens of a new planner other values on the wire than those that were encoded so far."""
+        self.token_offset = self._newest_wire_token
+
     def _to_wire(self, order: Order) -> dict[str, object]:
         # The sequence of the keys is part of the wire format.
         if isinstance(order, api.SetEntry):
@@ -102,6 +107,7 @@
             return {"op": Operation.WITHDRAW if order.withdrawn else Operation.RESTORE, "server": order.endpoint}
         if isinstance(order, api.RequestSync):
             wire_token = (order.token + self.token_offset) % SYNC_TOKEN_RANGE
+            self._newest_wire_token = wire_token
             return {"op": Operation.SYNC, "nonce_out": wire_token, "on": int(order.all_proxies)}
         return {
             "op": Operation.SET_ADMISSION,
--- a/damsonpick/protocols/platform/pending_orders.py
+++ b/damsonpick/protocols/platform/pending_orders.py
@@ -181,6 +181,11 @@
         pending.clear = order
         return True
 
+    def start_planner(self) -> None:
+        """Let no acknowledgement that a failed planner asked for count as one of the planner that replaces it."""
+        self.by_key.pop(SyncKey(), None)
+        self.codec.start_planner()
+
     def discard_table(self, table: int) -> None:
         """Remove all pending orders for a table, because its ownership has changed, which resets its levels as well."""
         self.by_key.pop(TableKey(table), None)
--- a/damsonpick/protocols/shared/session_manager.py
+++ b/damsonpick/protocols/shared/session_manager.py
@@ -231,6 +231,11 @@
 
     # -- acknowledgements and rejections
 
+    def discard_sync_tokens(self) -> None:
+        """Await no more acknowledgements of the sync tokens so far: a new planner issues the same tokens again."""
+        for client in self.clients.values():
+            client.pending_tokens.clear()
+
     def acknowledge(self, now: int, session: Session) -> None:
         """Notify the planner of every sync token that a client has now acknowledged, and record what it rejected."""
         if session.newly_rejected:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -146,6 +146,17 @@
     )
 
 
+def test_acknowledgements_of_a_failed_planner_do_not_count_for_the_next_one(tmp_path):
+    """Regression (review, case 3, restarts): a new planner took them for its own, and gave a slice away too early."""
+    harness = EngineHarness(tmp_path)
+    session = harness.join()
+    harness.engine.step(harness.now)
+    assert harness.session_manager.by_session[session].pending_tokens
+    harness.engine._planner_failed(harness.now, [], ValueError("injected failure"))
+    harness.engine._start_planner()
+    assert not harness.session_manager.by_session[session].pending_tokens
+
+
 def test_what_a_failed_planner_had_learned_is_handed_on_once_and_not_after_a_second_failure(tmp_path):
     harness = EngineHarness(tmp_path)
     harness.run(1)
--- a/tests/test_platform_pending_orders.py
+++ b/tests/test_platform_pending_orders.py
@@ -9,9 +9,11 @@
 from hypothesis import strategies as st
 
 from damsonpick import interface as api
+from damsonpick.decisions.flow_control import FlowControl
 from damsonpick.protocols.platform.pending_orders import MAX_REQUEST_BYTES, PendingOrders
 from damsonpick.protocols.platform.rejected_orders import RejectedOrders
 from damsonpick.protocols.platform.stored_state import apply_entry
+from tests.helpers import settings as planner_settings
 
 ORDERS = st.one_of(
     st.builds(api.SetEntry, st.integers(0, 2), st.sampled_from("pq"), st.sampled_from([0.0, 1.0, 2.0])),
@@ -157,3 +159,25 @@
     rejected.add(api.SetAdmission(3, (1,), 0.0, 1), now_s=0.0)
     rejected.supersede([api.ClearTable(3)])
     assert rejected.take_due(now_s=60.0) == []
+
+
+def test_acknowledgements_of_a_failed_planner_do_not_count_for_the_next_one():
+    """Regression (review, case 3, restarts): a new planner took them for its own, and gave a slice away too early."""
+    pending = PendingOrders(("x",), token_offset=65_530)
+    old_tokens = [_wire_token(pending, api.RequestSync(token, True)) for token in (1, 2, 9)]
+    pending.push([api.RequestSync(10, True)])
+    pending.start_planner()
+    assert pending.is_empty()
+    new_planner = FlowControl(planner_settings())
+    new_planner.add_proxy(0, "a")
+    for _ in range(9):
+        new_planner.send(0, 1, True)
+    for token in old_tokens:
+        new_planner.acknowledge(0, pending.codec.decode_token(token))
+    assert new_planner.acknowledged_by_all() == 0
+    new_planner.acknowledge(0, pending.codec.decode_token(_wire_token(pending, api.RequestSync(9, True))))
+    assert new_planner.acknowledged_by_all() == 9
+
+
+def _wire_token(pending, order):
+    return json.loads(pending.codec.encode(order))["nonce_out"]
