Reject rollbacks in the daemon that would change sole owners in one step

At a site with [tables] sole_owner and a class with writes, `versions rollback` published the entries of the earlier version at once, while proxies still wrote to the present owners and these had writes in hand.

Handovers to an earlier version would need the planner, which is replaced when a pin begins.

Result: the test failed before (the rollback was carried out) and passes now; engine tests passed.

--- a/damsonpick/controller/engine.py
+++ b/damsonpick/controller/engine.py
@@ -19,12 +19,14 @@
 from damsonpick.controller.slice_ownership import SliceOwnership
 from damsonpick.controller.table_persistence import TablePersistence
 from damsonpick.controller.table_pin import RollbackRequest, TablePin, VersionRollback
+from damsonpick.decisions import handover
 from damsonpick.decisions.planner import Planner
 from damsonpick.protocols.shared.session import Session
 from damsonpick.protocols.shared.session_manager import SessionManager
 from damsonpick.runtime.decision_loop import DecisionLoop, Step
 from damsonpick.settings.model import PilotSettings
 from damsonpick.state.endpoint_list.validation import EndpointList
+from damsonpick.state.history.errors import SoleOwnerRollbackError
 from damsonpick.state.history.recorder import HistoryRecorder
 from damsonpick.state.history.version import Cause
 from damsonpick.state.learned import ageing, capture
@@ -288,12 +290,15 @@
             The changes made, or planned in a dry run, in the reply format of `damsonpick versions rollback`.
 
         Raises:
-            ValueError: The history does not contain the version, or the pin was changed in the meantime.
+            ValueError: The history does not contain the version, the pin was changed in the meantime, or slices with a
+                sole owner would get another one.
         """
         now = self.clock.advance_to(now)
         plan = self.pin.plan_rollback(request, self.owned, self.is_unroutable, self.is_warming_up)
         if request.dry_run:
             return plan.reply() | {"done": False, "generation": self.recorder.pin.generation}
+        if plan.slices() and handover.is_required(self.settings.planner()):
+            raise SoleOwnerRollbackError(len(plan.slices()))
         self._apply_rollback(now, plan, request)
         newest = self.recorder.history.newest()
         self.log.warning(
--- a/damsonpick/state/history/errors.py
+++ b/damsonpick/state/history/errors.py
@@ -42,6 +42,18 @@
         self.actual = actual
 
 
+class SoleOwnerRollbackError(HistoryError, ValueError):
+    """Raised if a rollback would change sole owners of slices at once, while the present ones may still have writes."""
+
+    def __init__(self, slice_count: int) -> None:
+        """Create the error from the number of slices whose owner would change."""
+        super().__init__(
+            f"[tables] sole_owner: the rollback would give {slice_count} slices to other servers while the present "
+            "ones may still have writes; it changed nothing. `versions pin` keeps the tables as they are"
+        )
+        self.slice_count = slice_count
+
+
 class RangeSumsError(HistoryError, ValueError):
     """Raised if a text has the wrong length to be the range sums of a digest."""
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -4,12 +4,14 @@
 
 import json
 import sqlite3
+from dataclasses import replace
 
 import pytest
 import structlog
 
 from damsonpick import interface as api
 from damsonpick.controller.engine import Engine
+from damsonpick.controller.table_pin import RollbackRequest
 from damsonpick.decisions.planner import Planner
 from damsonpick.protocols.shared.send_queue import SendQueue
 from damsonpick.protocols.shared.session_manager import SessionManager
@@ -18,6 +20,7 @@
 from damsonpick.settings import load
 from damsonpick.state.endpoint_list.validation import EndpointList
 from damsonpick.state.history.database import open_history
+from damsonpick.state.history.errors import SoleOwnerRollbackError
 from damsonpick.state.history.history import Retention
 from damsonpick.state.history.recorder import HistoryRecorder
 from damsonpick.state.published_tables import PublishedTables
@@ -157,6 +160,28 @@
     assert not harness.session_manager.by_session[session].pending_tokens
 
 
+def test_a_rollback_that_changes_sole_owners_is_rejected(tmp_path):
+    """Regression (review, case 3, daemon): a rollback gave slices to other owners while the present ones had writes."""
+    harness = EngineHarness(tmp_path)
+    harness.join()
+    harness.run(1)
+    first = harness.engine.recorder.history.newest().number
+    harness.list("terminating", "in_service", "in_service")
+    harness.run(1)
+    harness.list("in_service", "in_service", "in_service")
+    harness.run(1)
+    settings = harness.engine.settings
+    classes = {name: spec.model_copy(update={"writes": True}) for name, spec in settings.classes.items()}
+    tables = settings.tables.model_copy(update={"sole_owner": True})
+    harness.engine.settings = settings.model_copy(update={"classes": classes, "tables": tables})
+    request = RollbackRequest(str(first), harness.now + SECOND)
+    assert not harness.engine.roll_back(harness.now, replace(request, dry_run=True))["done"]
+    before = {number: dict(table) for number, table in harness.published.tables.items()}
+    with pytest.raises(SoleOwnerRollbackError, match="sole_owner"):
+        harness.engine.roll_back(harness.now, request)
+    assert harness.published.tables == before and not harness.engine.pin.holds(harness.now)
+
+
 def test_what_a_failed_planner_had_learned_is_handed_on_once_and_not_after_a_second_failure(tmp_path):
     harness = EngineHarness(tmp_path)
     harness.run(1)
