Give a handover up that waits for too long if the former owner can go on serving

Found by reading the change for waits without an end; no report of callers. A move between endpoints in service waits for every joined proxy. One that hangs with an open stream neither acknowledges nor leaves, so all other proxies lacked an entry for the slice, or had its writes refused, for as long as it hung.

Change: after half of the time for which proxies may lack an entry, and the linger time, the former owner gets its entry back; writes that were stopped go on. No other endpoint had a write, so no wait is needed. Where the owner drains or is gone, the handover goes on: the rule on sole owners has no bound in time.

--- a/damsonpick/decisions/handover.py
+++ b/damsonpick/decisions/handover.py
@@ -22,6 +22,9 @@
 
 FORMER_OWNER_EXCLUSION_NS = MAX_PROXY_ABSENCE_NS  # time for which a slice is not given back to a former owner
 LONG_LINGER_SHARE = 0.25  # share of `Settings.unserved_limit` above which a linger time is long
+# Share of the time for which proxies may lack an entry after which a handover is given up if that is possible; the old
+# entry still has to wait for its turn and to reach the proxies.
+LONGEST_WAIT_SHARE = 0.5
 PUBLISH_DELAY_NS = NS_PER_SECOND // 4  # longest time after which the planner notices that a change is due
 
 
@@ -37,6 +40,14 @@
     return settings.write_linger > LONG_LINGER_SHARE * settings.unserved_limit
 
 
+def longest_wait(settings: api.Settings) -> int:
+    """Return the time (ns) after an order of a handover at which it is given up if the former owner can go on serving.
+
+    Writes in progress take their linger time in any case.
+    """
+    return settings.write_linger + int(LONGEST_WAIT_SHARE * (settings.unserved_limit or settings.drain_grace))
+
+
 def write_classes(settings: api.Settings) -> tuple[int, ...]:
     """Return the positions of the request classes that write."""
     return tuple(index for index, request_class in enumerate(settings.classes) if request_class.writes)
--- a/damsonpick/decisions/handover_tracker.py
+++ b/damsonpick/decisions/handover_tracker.py
@@ -96,18 +96,23 @@
 
     def stop_writes(self, slice_state: SliceState) -> None:
         """Record that the message being built stops the writes of a slice."""
-        slice_state.handover = Handover(stop_message=self.flow_control.message_number + 1)
+        slice_state.handover = self._new_handover(slice_state)
+        slice_state.handover.stop_message = self.flow_control.message_number + 1
         slice_state.writes_stopped_at = self.fleet.now
 
     def clear(self, slice_state: SliceState) -> None:
         """Record that the message being built clears the table of a slice, and with it the table's levels."""
-        handover = slice_state.handover or Handover()
+        handover = slice_state.handover or self._new_handover(slice_state)
         handover.clear_message = self.flow_control.message_number + 1
+        handover.ordered_at = self.fleet.now
         slice_state.former_owners.update(dict.fromkeys(slice_state.published, self.fleet.now))
         slice_state.published = {}
         slice_state.handover = handover
         slice_state.write_level_unknown = False
 
+    def _new_handover(self, slice_state: SliceState) -> Handover:
+        return Handover(next(iter(slice_state.published), None), self.fleet.now)
+
     def in_progress(self) -> list[SliceState]:
         """Return the slices whose handover has started and whose new entry is not published yet."""
         return [s for s in self.fleet.unpublished.values() if s.handover is not None]
@@ -118,9 +123,14 @@
         return ready_at is not None and self.fleet.now >= ready_at
 
     def may_publish_owner(self, slice_state: SliceState) -> bool:
-        """Return whether the new entry of a table may be published."""
-        clear_message = slice_state.handover.clear_message if slice_state.handover is not None else None
-        if clear_message is None or clear_message > self.flow_control.acknowledged_by_all():
+        """Return whether the new entry of a cleared table may be published; at once if the owner stays the same."""
+        handover = slice_state.handover
+        if handover is None or handover.clear_message is None:
+            return False
+        if slice_state.assigned == [handover.former_owner]:
+            return True
+        clear_message = handover.clear_message
+        if clear_message > self.flow_control.acknowledged_by_all():
             return False
         return self.writes_have_ended(slice_state) and self.fleet.now >= self._leases_end_at(slice_state, clear_message)
 
@@ -151,12 +161,15 @@
     def update(self, actions: list[api.Action]) -> None:
         """Determine for each handover whether all proxies have stopped, and order a timer for the end of their writes.
 
+        A handover that waits for too long is given up if the former owner can go on serving.
+
         Args:
             actions: List to which the timer is appended.
         """
         now = self.fleet.now
         self.started_at = now if self.started_at is None else self.started_at
         self._end_leases()
+        self._give_up_late_handovers()
         acknowledged = self.flow_control.acknowledged_by_all()
         has_stopped = [s for s in self.in_progress() if self._has_just_stopped(s, acknowledged)]
         for slice_state in has_stopped:
@@ -186,6 +199,23 @@
         for proxy in ended:
             self.flow_control.acknowledge_implicitly(proxy, self.returning.pop(proxy).message)
 
+    def _give_up_late_handovers(self) -> None:
+        """Assign slices to their former owners again if their handovers wait for too long, as while a proxy hangs."""
+        longest_wait = handover.longest_wait(self.fleet.settings)
+        for slice_state in self.in_progress():
+            late = slice_state.handover
+            if late is None or late.former_owner is None or self.fleet.now - late.ordered_at < longest_wait:
+                continue
+            if self.may_publish_owner(slice_state) or not self._may_serve(late.former_owner):
+                continue
+            slice_state.assigned = [late.former_owner]
+            if slice_state.published:
+                slice_state.handover = None
+                slice_state.write_level_unknown = True
+
+    def _may_serve(self, endpoint: str) -> bool:
+        return not self.fleet.is_unroutable(endpoint) and not self.fleet.withdrawn.get(endpoint)
+
     def _is_cleared(self, handover: Handover) -> bool:
         """Return whether a table was cleared by its handover, also in the store."""
         clear_message = handover.clear_message
--- a/damsonpick/decisions/publisher.py
+++ b/damsonpick/decisions/publisher.py
@@ -190,6 +190,8 @@
             entries.update((n, slice_state.desired_weight(n)) for n in sent)
             slice_state.published = entries
             slice_state.handover = None
+            for name in entries:
+                slice_state.former_owners.pop(name, None)
         if not slice_state.is_out_of_sync():
             del self.fleet.unpublished[slice_state.number]
 
--- a/damsonpick/decisions/slice_state.py
+++ b/damsonpick/decisions/slice_state.py
@@ -12,6 +12,8 @@
     """The change of a slice's sole owner, until the entry of the new owner is published.
 
     Attributes:
+        former_owner: The owner before; None if the table had no entry.
+        ordered_at: Time of the newest order of the handover, ns.
         stop_message: Number of the message that stops the writes; None if none does, or if a proxy has joined since
             that may have read the old entry without the order.
         clear_message: Number of the message that clears the table; None if it is not cleared yet.
@@ -19,6 +21,8 @@
             owner.
     """
 
+    former_owner: str | None
+    ordered_at: int
     stop_message: int | None = None
     clear_message: int | None = None
     ready_at: int | None = None
--- a/tests/decisions/test_handover.py
+++ b/tests/decisions/test_handover.py
@@ -39,6 +39,13 @@
     def join(self, proxy: int, fresh: bool = False) -> list[api.Action]:
         return self.handle(api.ProxyJoined(proxy, "a", 5.0, fresh))
 
+    def move(self, name: str) -> list[api.Action]:
+        """Let the planner move slice 0 although its owner is in service, as a balancing round does."""
+        slice_state = self.planner.slices[0]
+        slice_state.assigned = [name]
+        self.planner.unpublished[0] = slice_state
+        return self.step(SECOND)
+
 
 def new_owners(orders: list[api.Action]) -> list[str]:
     return [order.endpoint for order in orders if isinstance(order, api.SetEntry) and order.table == 0]
@@ -147,6 +154,27 @@
     assert len(dict.fromkeys(owners)) == 3
 
 
+def test_a_handover_that_a_hung_proxy_delays_is_given_up_if_the_owner_can_go_on():
+    """Found by reading: proxies lacked an entry for as long as another one neither acknowledged nor left."""
+    fleet = ExclusiveFleet()
+    assert api.ClearTable(0) in fleet.move("q")
+    fleet.acknowledge(0)
+    assert not new_owners(fleet.step(LINGER + 3 * SECOND // 2 - 1))
+    assert new_owners(fleet.step(1)) == ["p"]
+    fleet.acknowledge(0, 1)
+    assert not new_owners(fleet.step(5 * SECOND)) and fleet.tables[0] == {"p": 1.0}
+
+
+def test_writes_that_were_stopped_go_on_if_the_handover_is_given_up():
+    """Found by reading: writes of a slice were refused for as long as a proxy neither acknowledged nor left."""
+    fleet = ExclusiveFleet(write_linger=LONG_LINGER)
+    assert STOP in fleet.move("q")
+    fleet.acknowledge(0)
+    assert END_STOP not in fleet.step(LONG_LINGER + 3 * SECOND // 2 - 1)
+    orders = fleet.step(1)
+    assert END_STOP in orders and api.ClearTable(0) not in orders and fleet.tables[0] == {"p": 1.0}
+
+
 def test_a_table_without_writes_changes_its_owner_in_one_step():
     """Reads may be with two endpoints, so that proxies need not be left without an entry."""
     fleet = ExclusiveFleet()
