--- a/damsonpick/testing/fleet_model/__main__.py
+++ b/damsonpick/testing/fleet_model/__main__.py
@@ -1,6 +1,7 @@
-"""Plays random days: `python -m damsonpick.testing.fleet_model FIRST COUNT [--short] [--rule NAME ...]`.
+"""Plays random days: `python -m damsonpick.testing.fleet_model FIRST COUNT [--short] [--failure KIND ...]`.
 
-Prints the breaches of each day that has any of a named rule. The exit code is 1 if there is such a day.
+Prints the breaches of each day that has any, and ends with exit code 1 if there is such a day. With `--rule NAME`, only
+breaches of the named rules count.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
-from damsonpick.testing.fleet_model.plan import play
+from damsonpick.testing.fleet_model.plan import FAILURES, play
 from damsonpick.testing.fleet_model.rules import SHORT_TIMES
 
 # Rules that hold with any times. Where a lost proxy may write, or a write may last, for longer than proxies may lack an
@@ -26,10 +27,12 @@
     parser.add_argument("count", type=int)
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--rule", action="append", help="rules whose breach fails")
+    parser.add_argument("--failure", action="append", choices=FAILURES, help="kinds of failures; by default all")
     parser.add_argument("--short", action="store_true", help="short lease and linger time; `bare` is checked as well")
     arguments = parser.parse_args()
     rules = tuple(arguments.rule or (*DEFAULT_RULES, *(("bare",) if arguments.short else ())))
-    play_day = partial(play, **(SHORT_TIMES if arguments.short else {}))
+    kinds = tuple(arguments.failure or FAILURES)
+    play_day = partial(play, kinds=kinds, **(SHORT_TIMES if arguments.short else {}))
     total: Counter[str] = Counter()
     failed = 0
     with ProcessPoolExecutor(arguments.parallel) as pool:
