--- a/damsonpick/decisions/slice_state.py
+++ b/damsonpick/decisions/slice_state.py
@@ -48,7 +48,8 @@
         advised_weights: Entry weights calculated by the solver; an endpoint without one has weight 1.
         externally_assigned: Whether the whole table was calculated by the solver. Balancing rounds do not change it.
         handover: The handover in progress, on sites with a sole owner. It is kept while the slice has no assignment.
-        writes_stopped_at: Time of the last order that stopped the writes of the table, ns; None if there was none.
+        writes_stopped_at: Time of the last order that stopped the writes of the table, ns. It may be one of another
+            incarnation or instance until the slice was gained.
         write_level_unknown: Whether a joined proxy may still apply an order that stopped the writes of the table.
         former_owners: Time (ns) at which the table was cleared, by endpoint that was the sole owner until then.
     """
@@ -64,12 +65,13 @@
     advised_weights: dict[str, float] = field(default_factory=dict)
     externally_assigned: bool = False
     handover: Handover | None = None
-    writes_stopped_at: int | None = None
+    writes_stopped_at: int = field(init=False)
     write_level_unknown: bool = False
     former_owners: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Initialize the report times of all classes to 0 (no report)."""
+        self.writes_stopped_at = self.owned_since
         self.last_reports_at = [0] * len(self.rates)
 
     @property
--- a/damsonpick/testing/fleet_model/model.py
+++ b/damsonpick/testing/fleet_model/model.py
@@ -306,6 +306,7 @@
         stream = proxy.streams[pilot]
         if stream.joined or not proxy.running or self.pilots[pilot].planner is None:
             return
+        self._notice_loss(proxy, pilot)
         fresh, stream.known = not stream.known, True
         stream.joined, stream.store_read, stream.joined_at = True, False, self.now
         stream.epoch += 1
@@ -319,21 +320,21 @@
         stream = proxy.streams[pilot]
         if not stream.joined:
             return
-        stream.joined = False
+        stream.joined, stream.loss_unnoticed = False, True
         stream.epoch += 1
         for number, owner in enumerate(self.owner):
             if owner == pilot:
                 proxy.stale_since.setdefault(number, self.now)
-        started_at = self.pilots[pilot].started_at
-
-        def notice() -> None:
-            if self.pilots[pilot].started_at == started_at:
-                self._tell(self.pilots[pilot], api.ProxyLeft(proxy.number))
-
         notice_s = self.random.uniform(*NOTICE_S)
-        self.after(notice_s, notice)
+        self.after(notice_s, lambda: self._notice_loss(proxy, pilot))
         self.after(notice_s + self.random.uniform(*REDIAL_S), lambda: self.join(proxy, pilot))
 
+    def _notice_loss(self, proxy: Proxy, pilot: int) -> None:
+        stream = proxy.streams[pilot]
+        if stream.loss_unnoticed:
+            stream.loss_unnoticed = False
+            self._tell(self.pilots[pilot], api.ProxyLeft(proxy.number))
+
     def restart_proxy(self, proxy: Proxy) -> None:
         """Kill a proxy. It starts again without its tables, and sends no write before it has read the store."""
         proxy.running = False
@@ -388,6 +389,7 @@
         pilot.news.clear()
         for proxy in self.proxies:
             self.leave(proxy, number)
+            proxy.streams[number].loss_unnoticed = False  # it is no news for the next start of the pilot
         pilot.channel.clear()
 
     def restart_pilot(self, number: int, down_s: float) -> None:
--- a/damsonpick/testing/fleet_model/proxy.py
+++ b/damsonpick/testing/fleet_model/proxy.py
@@ -16,6 +16,7 @@
         epoch: Number of times that the stream was opened or broken; messages of an earlier epoch are lost.
         joined_at: Time of the last opening, ns.
         known: Whether there was a stream to this pilot since the proxy started.
+        loss_unnoticed: Whether the stream has broken and the pilot has not been told.
         store_read: Whether the proxy has read the store since the last opening.
         unread_tokens: Sync tokens that are acknowledged once the store is read.
     """
@@ -24,6 +25,7 @@
     epoch: int = 0
     joined_at: int = 0
     known: bool = False
+    loss_unnoticed: bool = False
     store_read: bool = False
     unread_tokens: list[int] = field(default_factory=list)
 
--- a/tests/decisions/test_handover.py
+++ b/tests/decisions/test_handover.py
@@ -231,3 +231,13 @@
     orders = fleet.handle(api.ProxyLeft(0), api.ProxyJoined(0, "a", 5.0, False)) + fleet.join(1)
     assert END_STOP not in orders + fleet.acknowledge(1) + fleet.step(SECOND)
     assert END_STOP in fleet.acknowledge(0, 1) + fleet.step(SECOND)
+
+
+def test_a_proxy_that_missed_the_end_of_a_stop_of_an_earlier_incarnation_gets_it_again():
+    """Regression (model, seed 1151): the message was lost, and the proxy refused writes for ever after a join."""
+    fleet = ExclusiveFleet(write_linger=LONG_LINGER)
+    fleet.handle(api.ProxyLeft(1), api.ProxyJoined(1, "a", 5.0, False))
+    assert END_STOP in fleet.acknowledge(0, 1) + fleet.step(SECOND)
+    fleet.handle(api.ProxyLeft(1))
+    orders = fleet.join(1) + fleet.acknowledge(0, 1) + fleet.step(SECOND)
+    assert END_STOP in orders
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -6,6 +6,7 @@
 
 from damsonpick.decisions.flow_control import FlowControl
 from damsonpick.decisions.handover_tracker import HandoverTracker
+from damsonpick.decisions.write_leases import WriteLeases
 from damsonpick.testing.fleet_model.__main__ import DEFAULT_RULES
 from damsonpick.testing.fleet_model.plan import FAILURES, play
 from damsonpick.testing.fleet_model.rules import SHORT_TIMES
@@ -36,7 +37,7 @@
 
 
 def test_the_model_notices_a_pilot_that_does_not_wait_for_leases(monkeypatch):
-    monkeypatch.setattr(HandoverTracker, "_leases_end_at", lambda *_: 0)
+    monkeypatch.setattr(WriteLeases, "have_ended", lambda *_: True)
     kinds, linger = ("deploy", "break_streams"), SHORT_TIMES["write_linger"]
     assert any(play(seed, kinds, write_linger=linger).breaches["owner"] for seed in SENSITIVITY_SEEDS)
 
