Forget former owners of a slice when they may have it again

Found by reading; no report of callers. Names whose exclusion has ended are dropped when the table is cleared again; decisions are the same.

--- a/damsonpick/decisions/handover_tracker.py
+++ b/damsonpick/decisions/handover_tracker.py
@@ -81,6 +81,8 @@
             slice_state.handover = self._new_handover(slice_state)
         slice_state.handover.clear_message = self.flow_control.message_number + 1
         slice_state.handover.ordered_at = self.fleet.now
+        recent = [n for n in slice_state.former_owners if not handover.may_be_given(self.fleet, slice_state, n)]
+        slice_state.former_owners = {n: slice_state.former_owners[n] for n in recent}
         slice_state.former_owners.update(dict.fromkeys(slice_state.published, self.fleet.now))
         slice_state.published = {}
         slice_state.write_level_unknown = False
--- a/tests/decisions/test_handover.py
+++ b/tests/decisions/test_handover.py
@@ -5,6 +5,7 @@
 import pytest
 
 from damsonpick import interface as api
+from damsonpick.decisions.handover import FORMER_OWNER_EXCLUSION_NS
 from tests.helpers import SECOND, SimulatedFleet, entry
 
 LINGER = SECOND // 2
@@ -154,6 +155,19 @@
     assert len(dict.fromkeys(owners)) == 3
 
 
+def test_a_former_owner_is_forgotten_when_it_may_have_the_slice_again():
+    """Found by reading: a slice kept every endpoint that it ever had, also those gone long ago."""
+    fleet = ExclusiveFleet()
+    for _ in range(3):
+        (owner,) = fleet.tables[0]
+        fleet.drain(owner)
+        fleet.acknowledge(0, 1)
+        fleet.step(LINGER)
+        fleet.acknowledge(0, 1)
+        fleet.step(FORMER_OWNER_EXCLUSION_NS)
+    assert list(fleet.planner.slices[0].former_owners) == [owner]
+
+
 def test_a_handover_that_a_hung_proxy_delays_is_given_up_if_the_owner_can_go_on():
     """Found by reading: proxies lacked an entry for as long as another one neither acknowledged nor left."""
     fleet = ExclusiveFleet()
