--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -84,7 +84,7 @@
             events += self._change_ownership(slice_number, False)
         for slice_number, entries in snapshot.tables.items():
             if slice_number in range(self.slice_count):
-                events += self._reconcile_table(slice_number, entries)
+                events += self._reconcile_table(slice_number, entries, gap)
                 if gap:
                     self.ownership.record_gap(slice_number)
         return events + self._reconcile_proxies(snapshot.proxies, gap)
@@ -104,9 +104,9 @@
         self._confirm_entries()
         return []
 
-    def _reconcile_table(self, slice_number: int, stored: TableEntries) -> list[api.Event]:
+    def _reconcile_table(self, slice_number: int, stored: TableEntries, gap: bool) -> list[api.Event]:
         known = self.tables.get(slice_number)
-        entries = stored if known is None else self._newest_entries(slice_number, known, stored)
+        entries = stored if known is None else self._newest_entries(slice_number, known, stored, gap)
         self.tables[slice_number] = entries
         # The tables are compared with pending orders applied, as the registry may already have applied these orders.
         desired = self.pending.overlay_entries(slice_number, entries)
@@ -114,16 +114,18 @@
             return []
         return _table_events(slice_number, desired)
 
-    def _newest_entries(self, slice_number: int, known: TableEntries, stored: TableEntries) -> TableEntries:
-        """Return the entries of a snapshot, but recent entries as they are known.
+    def _newest_entries(self, slice_number: int, known: TableEntries, stored: TableEntries, gap: bool) -> TableEntries:
+        """Return the entries of a snapshot; without a gap, recent entries as they are known.
 
         Orders that were accepted before the snapshot was read may be newer than the snapshot. The planner counts on
-        them: with a sole owner, it would otherwise give the table back to the former owner. Entries that differ are
-        ordered again.
+        them: with a sole owner, it would otherwise give the table back to the former owner. After a gap, another pilot
+        may have changed the table in the meantime, so the snapshot counts. Entries that differ are ordered again.
         """
         recent = self._uncertain.recent_endpoints(slice_number)
         differing = [name for name in recent if known.get(name, 0.0) != stored.get(name, 0.0)]
         self._uncertain.add_unconfirmed(slice_number, differing)
+        if gap:
+            return stored
         entries = {name: weight for name, weight in stored.items() if name not in differing}
         entries.update((name, known[name]) for name in differing if name in known)
         return entries
