--- a/review/standins_two/cases.py
+++ b/review/standins_two/cases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from review.standins_two.servers import Server
 from review.standins_two.site import Site
@@ -16,6 +17,9 @@
     sole_owner=True, slices=96, lease=1.5, linger=1.5, service_s=0.25, shares=(0.47, 0.53), late=(0.1, 0.35)
 )
 CUT_S = 10.0
+RESTART_SITE = Site(slices=112)
+DEAD_S = 12.0
+STEPS = 3
 
 
 async def drain(world: World, server: Server) -> None:
@@ -58,3 +62,35 @@
         await asyncio.sleep(CUT_S)
     await asyncio.gather(*steps)
     await asyncio.sleep(6.0)
+
+
+async def crash(world: World, server: Server) -> None:
+    """Let a server die and come back cold, as the list says some seconds later."""
+    server.die()
+    await asyncio.sleep(world.rng.uniform(2.1, 4.4))
+    world.discovery.set_state(server, "Gone")
+    await asyncio.sleep(DEAD_S - 4.4)
+    server.start()
+    await asyncio.sleep(world.rng.uniform(0.75, 2.1))
+    world.discovery.set_state(server, "Ready")
+
+
+async def play_restart_while_servers_are_dead(world: World, trouble: bool) -> None:
+    """Planned restarts of the pilots and a deploy; before, a quarter of the servers die and come back later."""
+    await asyncio.sleep(SETTLE_S)
+    dead = world.rng.sample(sorted(world.discovery.entries), len(world.discovery.entries) // 4 if trouble else 0)
+    crashes = [asyncio.create_task(crash(world, world.servers[name])) for name in dead]
+    await asyncio.sleep(6.0)
+    for pilot in range(world.site.pilots):
+        await world.restart_pilot(pilot, term=True, down_s=0.2)
+        await asyncio.sleep(1.5)
+    await asyncio.sleep(10.0)
+    steps = []
+    for _ in range(STEPS):
+        ready = [name for name, entry in world.discovery.entries.items() if entry["state"] == "Ready"]
+        names = world.rng.sample([name for name in ready if not world.servers[name].started], 3)
+        steps += await drain_step(world, names)
+        for _ in names:
+            world.add_server("Ready", started=time.time())
+        await asyncio.sleep(5.0)
+    await asyncio.gather(*steps, *crashes)
