--- a/review/standins_two/servers.py
+++ b/review/standins_two/servers.py
@@ -30,6 +30,7 @@
         zone: Its zone.
         weight: Its listed size.
         started: Unix time of its last start in seconds, 0 for long ago.
+        started_at: Time of its last restart on the monotonic clock.
         up: Whether it takes connections.
         fallen: Whether it fell over under the load while it was cold.
         hung: Whether it takes requests and answers none.
@@ -39,7 +40,7 @@
     def __init__(self, name: str, zone: str, weight: float, site: Site, record: Record) -> None:
         """Create a warm server."""
         self.name, self.zone, self.weight = name, zone, weight
-        self.started = 0.0
+        self.started = self.started_at = 0.0
         self.up = True
         self.fallen = self.hung = False
         self.in_hand = 0
@@ -72,6 +73,7 @@
         """Start the process again, cold."""
         self.up, self.fallen = True, False
         self.started = time.time()
+        self.started_at = time.monotonic()
         self._free_at = 0.0
         self._arrivals.clear()
 
--- a/review/standins_two/world.py
+++ b/review/standins_two/world.py
@@ -314,7 +314,7 @@
 
     def _knows(self, proxy: Proxy, pilot: int, server: Server, now: float) -> bool:
         told = self.discovery.told_start[pilot].get(server.name)
-        if told is None:
+        if told is None or told < server.started_at:
             return False
         return proxy.streams[pilot].last_ordered >= told or now - told >= self.site.grace + SLACK_S
 
