--- a/review/standins_two/relay.py
+++ b/review/standins_two/relay.py
@@ -16,6 +16,7 @@
 
 STORE_READ_S = (0.17, 0.49)
 FIRST_BEAT_S = 0.2
+IN_ORDER_S = 0.001  # between two messages to one proxy, which arrive in order
 Order = dict[str, Any]
 
 
@@ -281,7 +282,7 @@
         if self.site.messages and len(stream.written) > self.site.messages:
             self._record.breach("messages", f"{len(stream.written)} to proxy {proxy.number} in {self.site.window} s")
         transit = self._rng.uniform(*self.site.late)
-        stream.deliver_at = max(stream.deliver_at, self._free_at + transit)
+        stream.deliver_at = max(stream.deliver_at + IN_ORDER_S, self._free_at + transit)
         asyncio.get_running_loop().call_at(
             asyncio.get_running_loop().time() + stream.deliver_at - now, self._deliver, proxy, stream.epoch, orders, now
         )
