--- a/review/standins_two/world.py
+++ b/review/standins_two/world.py
@@ -258,7 +258,9 @@
         pilot = self.store.owner[slice_number]
         if pilot is not None:
             self._heat[pilot][(slice_number, kind, "tries")] += 1
+        self.record.write("request", id=number, proxy=proxy.number, slice=slice_number, kind=CLASSES[kind])
         result = await self._forward(number, proxy, slice_number, kind)
+        self.record.write("answer", id=number, result=result)
         self.results[f"{CLASSES[kind]}:{result}"] += 1
 
     async def _forward(self, number: int, proxy: Proxy, slice_number: int, kind: int) -> str:
@@ -291,6 +293,7 @@
 
     async def _attempt(self, number: int, proxy: Proxy, pilot: int, slice_number: int, kind: int, name: str) -> Outcome:
         server = self.servers[name]
+        self.record.write("send", id=number, proxy=proxy.number, slice=slice_number, server=name)
         self._judge_send(number, proxy, pilot, slice_number, kind, server)
         now = time.monotonic()
         proxy.out_now[name] = proxy.out_now.get(name, 0) + 1
@@ -303,6 +306,7 @@
             outcome = await asyncio.wait_for(server.serve(self._knows(proxy, pilot, server, now)), limit)
         if writes and server.writes.get(slice_number, 0) > 0:
             server.writes[slice_number] -= 1
+        self.record.write("end", id=number, server=name, outcome=outcome.value)
         proxy.ended(name, outcome is not Outcome.SERVED, self.rng)
         if proxy.streams[pilot].joined:
             failed = outcome is not Outcome.SERVED
