Review: case 8, a given slice is emptied when its news comes in two reads

At a sole-owner site a pilot that gets a slice, and reads the line 'owner' before the slice's line, clears the table at once. If it has chosen the server that the line names, it orders nothing more, and the slice has no line at any proxy while the pilot has it.

Seen first in a random play (restarts, lost calls, broken news), traced by the record (DEL, never SET) and the pilot's log.

--- a/review/standins_two/cases.py
+++ b/review/standins_two/cases.py
@@ -20,6 +20,20 @@
 RESTART_SITE = Site(slices=112)
 DEAD_S = 12.0
 STEPS = 3
+PIECES_SITE = Site(
+    sole_owner=True,
+    slices=112,
+    lease=1.5,
+    linger=0.8,
+    service_s=0.25,
+    shares=(0.47, 0.53),
+    late=(0.1, 0.35),
+    piece=(300, 1400),
+    piece_gap=(0.002, 0.012),
+)
+RESTARTED = (1, 0, 1, 0)
+DOWN_S = 6.0
+UP_S = 5.0
 
 
 async def drain(world: World, server: Server) -> None:
@@ -94,3 +108,14 @@
             world.add_server("Ready", started=time.time())
         await asyncio.sleep(5.0)
     await asyncio.gather(*steps, *crashes)
+
+
+async def play_restarts_while_news_comes_in_pieces(world: World, trouble: bool) -> None:
+    """Planned restarts of the pilots, one at a time; the other one has the slices meanwhile. Nothing else happens."""
+    await asyncio.sleep(SETTLE_S)
+    for pilot in RESTARTED:
+        if trouble:
+            await world.restart_pilot(pilot, term=True, down_s=DOWN_S)
+        else:
+            await asyncio.sleep(DOWN_S)
+        await asyncio.sleep(UP_S)
--- a/review/standins_two/play.py
+++ b/review/standins_two/play.py
@@ -40,6 +40,7 @@
 CASES = {
     6: Case("owner", cases.SOLE_OWNER_SITE, cases.play_cut_off_during_handover),
     7: Case("bare", cases.RESTART_SITE, cases.play_restart_while_servers_are_dead),
+    8: Case("bare", cases.PIECES_SITE, cases.play_restarts_while_news_comes_in_pieces),
 }
 
 
--- a/review/standins_two/relay.py
+++ b/review/standins_two/relay.py
@@ -184,7 +184,7 @@
                 return
 
     async def _serve_watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        watch = self.watch = wire.Watch(writer)
+        watch = self.watch = wire.Watch(writer, self.site.piece, self.site.piece_gap)
         for proxy in self.proxies:
             stream = proxy.streams[self.pilot]
             if stream.joined:
--- a/review/standins_two/site.py
+++ b/review/standins_two/site.py
@@ -41,6 +41,8 @@
         shares: Share of the requests by class.
         service_s: Mean service time of a warm server.
         capacity: Requests that a warm server of weight 1 serves.
+        piece: Shortest and longest piece, in bytes, in which news arrives; 0 if each line arrives as it is written.
+        piece_gap: Shortest and longest time between two pieces.
         extra: Settings that replace others, by section.
     """
 
@@ -69,6 +71,8 @@
     shares: tuple[float, ...] = (0.56, 0.44)
     service_s: float = 0.2
     capacity: float = 22.0
+    piece: tuple[int, int] = (0, 0)
+    piece_gap: tuple[float, float] = (0.0, 0.0)
     extra: dict[str, Any] = field(default_factory=dict)
 
     def settings(self, number: int) -> dict[str, Any]:
--- a/review/standins_two/wire.py
+++ b/review/standins_two/wire.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
@@ -142,17 +143,44 @@
 
 
 class Watch:
-    """One open watch: a chunked answer with a line for each event."""
+    """One open watch: a chunked answer with a line for each event.
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    Where `piece` is given, the bytes arrive in pieces: it bounds their length in bytes, `gap` the seconds between
+    two of them.
+    """
+
+    def __init__(
+        self,
+        writer: asyncio.StreamWriter,
+        piece: tuple[int, int] = (0, 0),
+        gap: tuple[float, float] = (0.0, 0.0),
+    ) -> None:
         """Start the answer."""
         self.writer = writer
+        self._piece, self._gap = piece, gap
+        self._waiting = bytearray()
+        self._sending: asyncio.Task[None] | None = None
         writer.write(CHUNKED_HEAD)
 
     def line(self, data: bytes) -> None:
         """Write one line."""
+        if not self._piece[1]:
+            self._write(chunk(data + b"\n"))
+            return
+        self._waiting += chunk(data + b"\n")
+        if self._sending is None or self._sending.done():
+            self._sending = asyncio.create_task(self._send_pieces())
+
+    async def _send_pieces(self) -> None:
+        while self._waiting and self.is_open():
+            size = random.randint(*self._piece)
+            self._write(bytes(self._waiting[:size]))
+            del self._waiting[:size]
+            await asyncio.sleep(random.uniform(*self._gap))
+
+    def _write(self, data: bytes) -> None:
         with contextlib.suppress(ConnectionError, RuntimeError):
-            self.writer.write(chunk(data + b"\n"))
+            self.writer.write(data)
 
     def is_open(self) -> bool:
         """Return whether the connection is open."""
