Discard orders from before a gap in the watch, and withhold orders during it

Cause: pending orders outlived the ownership for which they were decided.

Evidence: the relay's record has the interrupted SETs in the first call after the return.

The planner decides again where an order was pending, the stored table differs, or it is empty.

Tests: 13 in test_platform_ownership.py failed before; the one of the order client failed with orders sent at once (trial). Three tests held that orders from before a gap stay in force, which is the fault: they now require that the stored table and what the planner was told become the same, and no difference without a gap. The repetition of orders after gaps is gone with its cause. 174 tests of the platform passed.

--- a/damsonpick/protocols/platform/order_client.py
+++ b/damsonpick/protocols/platform/order_client.py
@@ -72,19 +72,29 @@
 class OrderClient:
     """Sends pending orders until the registry has accepted them.
 
+    While a change of ownership may have been missed, only withdrawals are sent. Other orders wait for the watch: they
+    were decided for tables that another pilot may have changed since, and its changes must not be undone.
+
     Attributes:
         request_count: Number of requests sent.
         unconfirmed_count: Number of these requests whose outcome is unknown.
     """
 
     def __init__(
-        self, address: Address, registry: Registry, enqueue: EventSink, delays: RetryDelays, log: Logger
+        self,
+        address: Address,
+        registry: Registry,
+        is_registry_current: Callable[[], bool],
+        enqueue: EventSink,
+        delays: RetryDelays,
+        log: Logger,
     ) -> None:
         """Create a client that is not connected yet.
 
         Args:
             address: Address of the registry.
             registry: Known state of the registry, with the pending orders.
+            is_registry_current: Returns whether no change of the registry's state can have been missed.
             enqueue: Queues events for the planner.
             delays: Computes the delays between requests.
             log: Receives the outcomes of requests.
@@ -93,6 +103,7 @@
         self.unconfirmed_count = 0
         self._registry = registry
         self._pending = registry.pending
+        self._is_registry_current = is_registry_current
         self._enqueue = enqueue
         self._delays = delays
         self._log = log
@@ -104,6 +115,7 @@
         self._max_orders: int | None = None
         self._busy = False  # whether a request was rejected as BUSY since the last accepted request
         self._rejected = RejectedOrders()
+        self._withholding = False  # whether orders other than withdrawals wait for the watch, as last logged
 
     def push(self, orders: Iterable[Order]) -> None:
         """Add the orders of one step of the planner; they replace rejected orders with the same keys."""
@@ -130,7 +142,7 @@
         while True:
             self._wakeup = anyio.Event()
             self._pending.push(self._rejected.take_due(anyio.current_time()))
-            if self._pending.is_empty():
+            if not self._pending.has_sendable(withdrawals_only=self._must_withhold_orders()):
                 with anyio.move_on_after(self._rejected.next_due_s(anyio.current_time())):
                     await self._wakeup.wait()
                 continue
@@ -152,7 +164,8 @@
         except TransportError as error:
             self._log.warning("registry_unreachable", reason=str(error), pending_orders=self._pending.key_count())
             return False
-        request = self._pending.next_request(self._registry.ownership.epoch, self._max_orders)
+        withdrawals_only = self._must_withhold_orders()
+        request = self._pending.next_request(self._registry.ownership.epoch, self._max_orders, withdrawals_only)
         if request is None:
             return True
         self.request_count += 1
@@ -162,6 +175,15 @@
             return await self._handle_unconfirmed(request, str(error))
         return await self._handle_response(connection, request, response.body)
 
+    def _must_withhold_orders(self) -> bool:
+        """Return whether orders other than withdrawals must wait for the watch. Log when the wait begins and ends."""
+        must_withhold = not self._is_registry_current()
+        if must_withhold != self._withholding:
+            self._withholding = must_withhold
+            event = "orders_withheld" if must_withhold else "orders_released"
+            self._log.info(event, pending_orders=self._pending.key_count())
+        return must_withhold
+
     async def _handle_unconfirmed(self, request: OrderRequest, reason: str) -> bool:
         """Handle a request whose outcome is unknown: the registry has applied it once or not at all.
 
--- a/damsonpick/protocols/platform/ownership.py
+++ b/damsonpick/protocols/platform/ownership.py
@@ -18,38 +18,25 @@
 
 
 class OwnershipTracker:
-    """Records, by slice, changes of ownership and gaps of the watch in which a change may have been missed.
+    """Records, by slice, changes of ownership. A gap of the watch counts as a change, as one may have been missed.
 
-    After a request has finished, the tracker shows whether a change or a gap was recorded during the request.
+    After a request has finished, the tracker shows whether a change was recorded during the request.
     """
 
     def __init__(self) -> None:
         """Create a tracker at epoch 0, without changes."""
-        self.epoch = 0  # incremented at each recorded change or gap of any slice
+        self.epoch = 0  # incremented at each recorded change of any slice
         self._last_change: dict[int, int] = {}  # epoch of the last change, by slice
-        self._last_gap: dict[int, int] = {}  # epoch of the last gap, by slice
 
     def record_change(self, slice_number: int) -> None:
         """Record that the ownership of a slice has changed, which makes orders of the previous ownership invalid."""
         self.epoch += 1
         self._last_change[slice_number] = self.epoch
 
-    def record_gap(self, slice_number: int) -> None:
-        """Record a gap in the watch, in which a change of a slice's ownership may have been missed.
-
-        Orders for the slice stay valid, but their outcome is unknown.
-        """
-        self.epoch += 1
-        self._last_gap[slice_number] = self.epoch
-
     def has_changed_since(self, slice_number: int, epoch: int) -> bool:
         """Return whether the ownership of a slice has changed after an epoch."""
         return self._last_change.get(slice_number, 0) > epoch
 
-    def has_gap_since(self, slice_number: int, epoch: int) -> bool:
-        """Return whether a change of a slice's ownership may have been missed after an epoch."""
-        return self._last_gap.get(slice_number, 0) > epoch
-
 
 class UncertainEntries:
     """Table entries whose stored weight may differ from what the watch has reported.
--- a/damsonpick/protocols/platform/pending_orders.py
+++ b/damsonpick/protocols/platform/pending_orders.py
@@ -150,6 +150,10 @@
         """Return whether no order is pending."""
         return not self.by_key
 
+    def has_sendable(self, withdrawals_only: bool) -> bool:
+        """Return whether an order may be sent, given whether withdrawals are the only orders that may be."""
+        return any(self._sendable(withdrawals_only))
+
     def key_count(self) -> int:
         """Return the number of keys (tables, endpoints, levels, sync token) that have pending orders."""
         return len(self.by_key)
@@ -170,47 +174,45 @@
                 self.by_key.pop(key, None)
             self.by_key[key] = order
 
-    def repeat_clear(self, order: api.ClearTable) -> bool:
-        """Add an order that clears a table before all pending orders for its entries. Return whether none was pending.
-
-        The pending orders for entries are newer than the repeated order, so they stay.
-        """
-        pending = self._get_or_add_table(order.table)
-        if pending.clear is not None:
-            return False
-        pending.clear = order
-        return True
-
     def start_planner(self) -> None:
         """Let no acknowledgement that a failed planner asked for count as one of the planner that replaces it."""
         self.by_key.pop(SyncKey(), None)
         self.codec.start_planner()
 
-    def discard_table(self, table: int) -> None:
-        """Remove all pending orders for a table, because its ownership has changed, which resets its levels as well."""
+    def discard_table(self, table: int) -> bool:
+        """Remove all pending orders for a table, because its ownership has changed, which resets its levels as well.
+
+        Returns:
+            Whether any order was pending.
+        """
+        key_count = len(self.by_key)
         self.by_key.pop(TableKey(table), None)
         self._discard_table_levels(table)
+        return len(self.by_key) < key_count
 
     def is_entry_pending(self, table: int, endpoint: str) -> bool:
         """Return whether an order for this entry is pending."""
         pending = self._pending_table(table)
         return pending is not None and endpoint in pending.entries
 
-    def next_request(self, ownership_epoch: int, max_orders: int | None = None) -> OrderRequest | None:
+    def next_request(
+        self, ownership_epoch: int, max_orders: int | None = None, withdrawals_only: bool = False
+    ) -> OrderRequest | None:
         """Build the next request from the oldest orders.
 
         Args:
             ownership_epoch: Current `OwnershipTracker.epoch`.
             max_orders: Largest number of orders in the request. If None, only the size is limited.
+            withdrawals_only: Whether to leave out all other orders, see `OrderClient`.
 
         Returns:
-            The request, or None if no order is pending. It contains at least one order; with several orders it is at
+            The request, or None if there is no such order. It contains at least one order; with several orders it is at
             most `MAX_REQUEST_BYTES` long.
         """
         size_bytes = len(encode_request([]))
         encoded: list[bytes] = []
         included: list[Order] = []
-        for order in self:
+        for order in self._sendable(withdrawals_only):
             encoded_order = self.codec.encode(order)
             size_bytes += len(encoded_order) + 1
             if encoded and (size_bytes > MAX_REQUEST_BYTES or len(encoded) == max_orders):
@@ -276,6 +278,11 @@
                 apply_admission(desired, order, self.class_count)
         return tuple(desired.get(class_index, 1.0) for class_index in range(self.class_count))
 
+    def _sendable(self, withdrawals_only: bool) -> Iterator[Order]:
+        for order in self:
+            if not withdrawals_only or (isinstance(order, api.SetWithdrawn) and order.withdrawn):
+                yield order
+
     def _discard_table_levels(self, table: int) -> None:
         """Remove pending admission levels of a table: sent after the event that removes its levels, they would stay."""
         for key in [key for key in self.by_key if isinstance(key, AdmissionKey) and key.table == table]:
--- a/damsonpick/protocols/platform/pilot.py
+++ b/damsonpick/protocols/platform/pilot.py
@@ -105,7 +105,13 @@
 
     def _compose_order_client(self) -> OrderClient:
         delays = RetryDelays(self._rng, self._transmission_time_s)
-        return OrderClient(self._config.registry, self.registry, self.driver.enqueue, delays, self._log)
+
+        def is_registry_current() -> bool:
+            return self._registry_watch.is_current()
+
+        return OrderClient(
+            self._config.registry, self.registry, is_registry_current, self.driver.enqueue, delays, self._log
+        )
 
     def _compose_registry_watch(self, dropped_input_log: DroppedInputLog) -> WatchClient:
         synchronizer = RegistrySynchronizer(
--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -74,6 +74,7 @@
                 acknowledgements and the orders sent to it in the meantime may be lost. The planner is therefore
                 notified that every known proxy has left and every proxy of the snapshot has joined. Without a gap, only
                 proxies that differ are reported, so that the tables need not be sent again to the other proxies.
+                Another pilot may also have owned a slice, so pending orders for its table are discarded.
 
         Returns:
             Events for the differences to the previously known state.
@@ -84,9 +85,8 @@
             events += self._change_ownership(slice_number, False)
         for slice_number, entries in snapshot.tables.items():
             if slice_number in range(self.slice_count):
-                events += self._reconcile_table(slice_number, entries, gap)
-                if gap:
-                    self.ownership.record_gap(slice_number)
+                reconcile_table = self._reconcile_table_after_gap if gap else self._reconcile_table
+                events += reconcile_table(slice_number, entries)
         return events + self._reconcile_proxies(snapshot.proxies, gap)
 
     def apply(self, event: registry_events.RegistryEvent) -> list[api.Event]:
@@ -104,9 +104,23 @@
         self._confirm_entries()
         return []
 
-    def _reconcile_table(self, slice_number: int, stored: TableEntries, gap: bool) -> list[api.Event]:
+    def _reconcile_table_after_gap(self, slice_number: int, stored: TableEntries) -> list[api.Event]:
+        """Replace a table by the one that is stored after a gap, in which another pilot may have changed it.
+
+        Pending orders were decided before that and are discarded. The planner decides again if an order was pending or
+        the table differs, and if it is empty: another pilot may have changed it more than once.
+        """
+        known = self.tables.get(slice_number)
+        recent = self._uncertain.recent_endpoints(slice_number)
+        self._uncertain.add_unconfirmed(slice_number, _differing(recent, known or {}, stored))
+        had_orders = self.pending.discard_table(slice_number)
+        self.ownership.record_change(slice_number)
+        self.tables[slice_number] = stored
+        return [] if stored and stored == known and not had_orders else _table_events(slice_number, stored)
+
+    def _reconcile_table(self, slice_number: int, stored: TableEntries) -> list[api.Event]:
         known = self.tables.get(slice_number)
-        entries = stored if known is None else self._newest_entries(slice_number, known, stored, gap)
+        entries = stored if known is None else self._newest_entries(slice_number, known, stored)
         self.tables[slice_number] = entries
         # The tables are compared with pending orders applied, as the registry may already have applied these orders.
         desired = self.pending.overlay_entries(slice_number, entries)
@@ -114,18 +128,15 @@
             return []
         return _table_events(slice_number, desired)
 
-    def _newest_entries(self, slice_number: int, known: TableEntries, stored: TableEntries, gap: bool) -> TableEntries:
-        """Return the entries of a snapshot; without a gap, recent entries as they are known.
+    def _newest_entries(self, slice_number: int, known: TableEntries, stored: TableEntries) -> TableEntries:
+        """Return the entries of a snapshot without a gap, with recent entries as they are known.
 
         Orders that were accepted before the snapshot was read may be newer than the snapshot. The planner counts on
-        them: with a sole owner, it would otherwise give the table back to the former owner. After a gap, another pilot
-        may have changed the table in the meantime, so the snapshot counts. Entries that differ are ordered again.
+        them: with a sole owner, it would otherwise give the table back to the former owner. Entries that differ are
+        ordered again.
         """
-        recent = self._uncertain.recent_endpoints(slice_number)
-        differing = [name for name in recent if known.get(name, 0.0) != stored.get(name, 0.0)]
+        differing = _differing(self._uncertain.recent_endpoints(slice_number), known, stored)
         self._uncertain.add_unconfirmed(slice_number, differing)
-        if gap:
-            return stored
         entries = {name: weight for name, weight in stored.items() if name not in differing}
         entries.update((name, known[name]) for name in differing if name in known)
         return entries
@@ -213,7 +224,8 @@
         """
         for order in orders:
             if isinstance(order, TableChange):
-                if order.table in self.tables and not self._is_uncertain(order, ownership_epoch):
+                has_changed = self.ownership.has_changed_since(order.table, ownership_epoch)
+                if order.table in self.tables and not has_changed:
                     self._apply_table_change(order)
             elif isinstance(order, api.SetWithdrawn):
                 self._apply_withdrawal(order)
@@ -226,10 +238,9 @@
         The registry applied such an order, if at all, in the previous ownership, in the current ownership or between
         them, so it is unknown whether the order changed the entries that are stored now. After a change, the currently
         desired weights of the order's entries are ordered: immediately for known stored entries, and for all entries
-        after a heartbeat, which shows that the watch has reported the stored entries of the slice. After a gap, in
-        which a change may have been missed, the order is repeated immediately. A change of ownership that is reported
-        later is covered as well, because all entries of the request are added to the recent entries (see
-        `UncertainEntries`).
+        after a heartbeat, which shows that the watch has reported the stored entries of the slice. A change of
+        ownership that is reported later is covered as well, because all entries of the request are added to the recent
+        entries (see `UncertainEntries`).
 
         Args:
             orders: Orders of a request that was accepted or whose outcome is unknown.
@@ -254,26 +265,8 @@
             self._uncertain.add_unconfirmed(slice_number, endpoints)
             kept = [endpoint for endpoint in endpoints if endpoint in stored]
             return self._order_entries(slice_number, kept) if kept else False
-        if slice_number in self.tables and self.ownership.has_gap_since(slice_number, ownership_epoch):
-            return self._repeat_order(order)
         return False
 
-    def _repeat_order(self, order: TableChange) -> bool:
-        """Repeat an order, unless this order or a newer order for the same entry is pending.
-
-        An order that clears the table is sent before newer orders for its entries. The known entries may be older than
-        the order, so their weights are not ordered again: with a sole owner, a former owner would get its entry back.
-
-        Returns:
-            Whether any order was added.
-        """
-        if isinstance(order, api.ClearTable):
-            return self.pending.repeat_clear(order)
-        if self.pending.is_entry_pending(order.table, order.endpoint):
-            return False
-        self.pending.push([order])
-        return True
-
     def rejection_events(self, order: Order) -> list[api.Event]:
         """Return events with the known table of a rejected entry, so that the planner decides again.
 
@@ -287,12 +280,6 @@
             return _table_events(order.table, self.pending.overlay_entries(order.table, self.tables[order.table]))
         return []
 
-    def _is_uncertain(self, order: TableChange, ownership_epoch: int) -> bool:
-        """Return whether the ownership of the order's slice has changed since its request, or may have changed."""
-        return self.ownership.has_changed_since(order.table, ownership_epoch) or self.ownership.has_gap_since(
-            order.table, ownership_epoch
-        )
-
     def _apply_table_change(self, order: TableChange) -> None:
         if isinstance(order, api.SetEntry):
             apply_entry(self.tables[order.table], order)
@@ -310,6 +297,11 @@
             del self.withdrawn[next(iter(self.withdrawn))]
 
 
+def _differing(endpoints: Iterable[str], known: TableEntries, stored: TableEntries) -> list[str]:
+    """Return the endpoints whose known and stored weights differ."""
+    return [name for name in endpoints if known.get(name, 0.0) != stored.get(name, 0.0)]
+
+
 def _table_events(slice_number: int, entries: TableEntries) -> list[api.Event]:
     """Return the events for a complete table: the ownership of the slice, then each entry."""
     events: list[api.Event] = [api.SliceOwnershipChanged(slice_number, True)]
--- a/damsonpick/protocols/platform/registry_watch.py
+++ b/damsonpick/protocols/platform/registry_watch.py
@@ -32,7 +32,7 @@
         Args:
             registry: Known state of the registry.
             enqueue: Queues events for the planner.
-            wake_order_client: Called after an event of the watch if orders are pending.
+            wake_order_client: Called after a snapshot, and after an event of the watch if orders are pending.
             readiness: Is notified of each snapshot.
             log: Receives a line for each snapshot.
         """
@@ -49,13 +49,16 @@
             snapshot: State at the start of the watch.
             gap: Whether events may have been missed before the snapshot.
         """
+        pending_before = self._registry.pending.key_count()
+        self._enqueue(*self._registry.reconcile(snapshot, gap))
         self._log.info(
             "registry_synchronized",
             proxies=len(snapshot.proxies),
             slices=len(snapshot.tables),
             gap=gap,
+            discarded_orders=pending_before - self._registry.pending.key_count(),
         )
-        self._enqueue(*self._registry.reconcile(snapshot, gap))
+        self._wake_order_client()
         self._readiness.confirm(Source.REGISTRY)
 
     def apply_event(self, event: registry_events.RegistryEvent) -> None:
