Do not send a rejected order again in a later ownership of its slice

Cause: a change of ownership discards pending orders, but not those that wait in RejectedOrders.

Why it works: a rejected order keeps the ownership epoch of its request, and is dropped if the ownership has changed since. The same check now serves accepted and repeated orders (Registry.is_outdated).

--- a/damsonpick/protocols/platform/order_client.py
+++ b/damsonpick/protocols/platform/order_client.py
@@ -78,6 +78,7 @@
     Attributes:
         request_count: Number of requests sent.
         unconfirmed_count: Number of these requests whose outcome is unknown.
+        registry: Known state of the registry, with the pending orders.
     """
 
     def __init__(
@@ -101,7 +102,7 @@
         """
         self.request_count = 0
         self.unconfirmed_count = 0
-        self._registry = registry
+        self.registry = registry
         self._pending = registry.pending
         self._is_registry_current = is_registry_current
         self._enqueue = enqueue
@@ -141,7 +142,7 @@
         """Send pending orders until cancelled."""
         while True:
             self._wakeup = anyio.Event()
-            self._pending.push(self._rejected.take_due(anyio.current_time()))
+            self._resend_rejected()
             if not self._pending.has_sendable(withdrawals_only=self._must_withhold_orders()):
                 with anyio.move_on_after(self._rejected.next_due_s(anyio.current_time())):
                     await self._wakeup.wait()
@@ -165,7 +166,7 @@
             self._log.warning("registry_unreachable", reason=str(error), pending_orders=self._pending.key_count())
             return False
         withdrawals_only = self._must_withhold_orders()
-        request = self._pending.next_request(self._registry.ownership.epoch, self._max_orders, withdrawals_only)
+        request = self._pending.next_request(self.registry.ownership.epoch, self._max_orders, withdrawals_only)
         if request is None:
             return True
         self.request_count += 1
@@ -196,7 +197,7 @@
             Always False: the next request must not follow without the delay of the backoff.
         """
         self.unconfirmed_count += 1
-        self._registry.repeat_uncertain(request.orders, request.ownership_epoch)
+        self.registry.repeat_uncertain(request.orders, request.ownership_epoch)
         self._log.warning("order_request_unconfirmed", reason=reason, pending_orders=self._pending.key_count())
         delay_s = self._delays.unconfirmed_delay_s(len(request.orders))
         if delay_s > 0:
@@ -217,8 +218,8 @@
 
     def _handle_accepted(self, request: OrderRequest, accepted_count: int) -> None:
         acknowledged = self._pending.acknowledge(request.orders, accepted_count)
-        self._registry.apply_accepted_orders(acknowledged.accepted, request.ownership_epoch)
-        if self._registry.repeat_uncertain(acknowledged.accepted, request.ownership_epoch):
+        self.registry.apply_accepted_orders(acknowledged.accepted, request.ownership_epoch)
+        if self.registry.repeat_uncertain(acknowledged.accepted, request.ownership_epoch):
             self._log.info("orders_repeated", reason="the ownership of a slice possibly changed during the request")
         self._log.info("orders_accepted", **count_by_kind(acknowledged.accepted))
         if acknowledged.rejected is not None:
@@ -228,19 +229,27 @@
                 position=accepted_count,
                 order_count=len(request.orders),
             )
-            self._handle_rejected_order(acknowledged.rejected)
+            self._handle_rejected_order(acknowledged.rejected, request.ownership_epoch)
         self._delays.reset()
         self._syntax_rejections = 0
         self._max_orders = None
         self._busy = False
 
-    def _handle_rejected_order(self, order: Order) -> None:
+    def _resend_rejected(self) -> None:
+        """Resend the rejected orders that are due, except those of an earlier ownership of their slice."""
+        due = self._rejected.take_due(anyio.current_time())
+        valid = (r.order for r in due if not self.registry.is_outdated(r.order, r.ownership_epoch))
+        self._pending.push(valid)
+
+    def _handle_rejected_order(self, order: Order, ownership_epoch: int) -> None:
         """Let the planner decide again on a rejected entry; resend any other rejected order up to `MAX_RESENDS` times.
 
         A withdrawal must not be lost if it is rejected because the registry does not know the endpoint yet.
         """
-        self._enqueue(*self._registry.rejection_events(order))
-        if not isinstance(order, api.SetEntry) and not self._rejected.add(order, anyio.current_time()):
+        self._enqueue(*self.registry.rejection_events(order))
+        if isinstance(order, api.SetEntry):
+            return
+        if not self._rejected.add(order, ownership_epoch, anyio.current_time()):
             self._log.error("order_abandoned", order=repr(order), attempts=MAX_RESENDS)
 
     def _handle_rejected_request(self, request: OrderRequest, rejection: Rejection | None) -> None:
@@ -275,7 +284,7 @@
         (order,) = request.orders
         self._pending.discard(request.orders)
         self._log.error("order_abandoned", order=repr(order), attempts=MAX_SYNTAX_REJECTIONS)
-        self._enqueue(*self._registry.rejection_events(order))
+        self._enqueue(*self.registry.rejection_events(order))
 
 
 def count_by_kind(orders: Iterable[Order]) -> dict[str, int]:
--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -224,14 +224,19 @@
         """
         for order in orders:
             if isinstance(order, TableChange):
-                has_changed = self.ownership.has_changed_since(order.table, ownership_epoch)
-                if order.table in self.tables and not has_changed:
+                if order.table in self.tables and not self.is_outdated(order, ownership_epoch):
                     self._apply_table_change(order)
             elif isinstance(order, api.SetWithdrawn):
                 self._apply_withdrawal(order)
             elif isinstance(order, api.SetAdmission):
                 apply_admission(self.levels, order, self.pending.class_count)
 
+    def is_outdated(self, order: Order, ownership_epoch: int) -> bool:
+        """Return whether an order concerns a table whose ownership has changed since the given epoch."""
+        if not isinstance(order, TableChange | api.SetAdmission) or order.table is None:
+            return False
+        return self.ownership.has_changed_since(order.table, ownership_epoch)
+
     def repeat_uncertain(self, orders: Iterable[Order], ownership_epoch: int) -> bool:
         """Repeat the orders for slices whose ownership has changed, or may have changed, during the request.
 
@@ -261,7 +266,7 @@
         endpoints = [order.endpoint] if isinstance(order, api.SetEntry) else list(stored)
         for endpoint in endpoints:
             self._uncertain.add_recent(slice_number, endpoint)
-        if self.ownership.has_changed_since(slice_number, ownership_epoch):
+        if self.is_outdated(order, ownership_epoch):
             self._uncertain.add_unconfirmed(slice_number, endpoints)
             kept = [endpoint for endpoint in endpoints if endpoint in stored]
             return self._order_entries(slice_number, kept) if kept else False
--- a/damsonpick/protocols/platform/rejected_orders.py
+++ b/damsonpick/protocols/platform/rejected_orders.py
@@ -19,11 +19,13 @@
 
     Attributes:
         order: The order.
+        ownership_epoch: Ownership epoch of the request that contained it.
         attempts: Number of times that the order was rejected.
         due_s: Time at which the order is resent.
     """
 
     order: Order
+    ownership_epoch: int
     attempts: int
     due_s: float
 
@@ -41,14 +43,14 @@
         # Number of rejections of each resent order, until it is rejected again or superseded.
         self._attempts: dict[OrderKey, int] = {}
 
-    def add(self, order: Order, now_s: float) -> bool:
+    def add(self, order: Order, ownership_epoch: int, now_s: float) -> bool:
         """Add a rejected order; return False if it was rejected more than `MAX_RESENDS` times and is not resent."""
         key = order_key(order)
         attempts = self._attempts.pop(key, 0) + 1
         if attempts > MAX_RESENDS:
             return False
         delay_s = min(MAX_RESEND_DELAY_S, FIRST_RESEND_DELAY_S * 2 ** (attempts - 1))
-        self._waiting[key] = RejectedOrder(order, attempts, now_s + delay_s)
+        self._waiting[key] = RejectedOrder(order, ownership_epoch, attempts, now_s + delay_s)
         return True
 
     def supersede(self, orders: Iterable[Order]) -> None:
@@ -63,13 +65,16 @@
                 self._waiting.pop(key, None)
                 self._attempts.pop(key, None)
 
-    def take_due(self, now_s: float) -> list[Order]:
-        """Remove the orders whose delay has passed and return them."""
+    def take_due(self, now_s: float) -> list[RejectedOrder]:
+        """Remove the orders whose delay has passed and return them.
+
+        Some may belong to an earlier ownership of their slice, in which case the caller must not resend them.
+        """
         due = {key: rejected for key, rejected in self._waiting.items() if rejected.due_s <= now_s}
         for key, rejected in due.items():
             del self._waiting[key]
             self._attempts[key] = rejected.attempts
-        return [rejected.order for rejected in due.values()]
+        return list(due.values())
 
     def next_due_s(self, now_s: float) -> float | None:
         """Return the seconds until the next order is due, or None if no order is waiting."""
--- a/tests/test_platform_order_client.py
+++ b/tests/test_platform_order_client.py
@@ -6,10 +6,12 @@
 import random
 
 import anyio
+import pytest
 import structlog
 from structlog.testing import LogCapture
 
 from damsonpick import interface as api
+from damsonpick.protocols.platform import registry_events
 from damsonpick.protocols.platform.address import Address
 from damsonpick.protocols.platform.order_client import OrderClient, RetryDelays
 from damsonpick.protocols.platform.pending_orders import PendingOrders
@@ -24,8 +26,14 @@
     """Rejects requests with the endpoint `unparsable` as SYNTAX, and stops at orders for the endpoint `unknown`."""
 
     unparsable, unknown, rejections, busy_responses = "", "", 0, 0
+    unusable_op = ""  # kind of order that is rejected alone
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.ops: list[tuple[str, int | str | None]] = []  # kind and table of each order received
 
     async def _serve_orders(self, orders, stream):
+        self.ops += [(order["op"], order.get("table")) for order in orders]
         if self.busy_responses:
             self.busy_responses -= 1
             await stream.send(response_bytes(b'{"error":"BUSY"}', "409 Conflict"))
@@ -34,7 +42,8 @@
             self.rejections += 1
             await stream.send(response_bytes(b'{"error":"SYNTAX"}', "400 Bad Request"))
             return True
-        usable = next((k for k, order in enumerate(orders) if order.get("server") == self.unknown), len(orders))
+        unusable = [order.get("server") == self.unknown or order["op"] == self.unusable_op for order in orders]
+        usable = unusable.index(True) if True in unusable else len(orders)
         await self._apply(orders[:usable], reports_sync=False)
         await stream.send(response_bytes(json.dumps({"taken": usable}).encode()))
         return True
@@ -145,3 +154,21 @@
 
     captured = run_client(registry, run_scenario, lambda: current)
     assert [name for name in event_names(captured) if name.startswith("orders_")].count("orders_withheld") == 1
+
+
+@pytest.mark.parametrize(("order", "op"), [(api.ClearTable(1), "DEL"), (api.SetAdmission(1, (0,), 0.0, 1), "LIMIT")])
+def test_a_rejected_order_is_not_resent_in_a_later_ownership_of_its_slice(order, op):
+    """Regression (related to review, case 6): the table of another ownership was cleared, or its writes stopped."""
+    registry = RejectingRegistry(2, 2)
+    registry.unusable_op = op
+
+    async def run_scenario(client: OrderClient) -> None:
+        client.push([order])
+        await until(lambda: registry.ops)
+        for owned in (False, True):
+            client.registry.apply(registry_events.OwnershipChanged(1, owned))
+        registry.unusable_op = ""
+        await anyio.sleep(0.5)
+        assert registry.ops == [(op, 1)]
+
+    run_client(registry, run_scenario)
--- a/tests/test_platform_pending_orders.py
+++ b/tests/test_platform_pending_orders.py
@@ -156,7 +156,7 @@
 def test_a_rejected_level_of_a_table_is_not_resent_after_the_table_is_cleared():
     """Regression (review, case 3, rejected calls): the level 0 that stops writes would hold after the handover."""
     rejected = RejectedOrders()
-    rejected.add(api.SetAdmission(3, (1,), 0.0, 1), now_s=0.0)
+    rejected.add(api.SetAdmission(3, (1,), 0.0, 1), 0, now_s=0.0)
     rejected.supersede([api.ClearTable(3)])
     assert rejected.take_due(now_s=60.0) == []
 
