Readmit endpoints that return after a restart, as proxies may apply old withdrawals

What callers saw: servers that were dead while the pilots were restarted stayed shut out at the proxies when they were back.

Cause: proxies go on applying withdrawals of earlier incarnations. A restarted planner sent "not withdrawn" for the endpoints that it knew when a proxy joined, and never for those that a list or a table named later.

Why it works: once a proxy has joined that an earlier incarnation knew, or a withdrawal was forgotten (retention), each endpoint that is named for the first time and may be used is readmitted, ahead of entries in the message.

--- a/damsonpick/decisions/endpoint_list.py
+++ b/damsonpick/decisions/endpoint_list.py
@@ -6,7 +6,6 @@
 
 from damsonpick import interface as api
 from damsonpick.decisions import capacity
-from damsonpick.decisions.endpoint_state import EndpointState
 from damsonpick.decisions.fleet_state import FleetState
 from damsonpick.decisions.time_units import NS_PER_SECOND
 
@@ -78,7 +77,7 @@
                 endpoint.set_state(self.fleet.now, "terminated")
 
     def _apply_entry(self, entry: api.EndpointEntry) -> None:
-        endpoint = self.fleet.endpoints.setdefault(entry.endpoint, EndpointState(entry.endpoint))
+        endpoint = self.fleet.get_or_add_endpoint(entry.endpoint)
         if endpoint.state == "unlisted" and not endpoint.last_report_at:
             factor = capacity.initial_capacity_factor(self.fleet, entry.weight)
             endpoint.capacity_factor = endpoint.capacity_factor if factor is None else factor
--- a/damsonpick/decisions/fleet_state.py
+++ b/damsonpick/decisions/fleet_state.py
@@ -25,6 +25,8 @@
         list_received: Whether an endpoint list newer than the restored list has been received.
         withdrawn: Whether an endpoint is withdrawn now, by name. It contains each endpoint whose withdrawal state may
             have to be sent to a proxy.
+        may_lack_withdrawals: Whether a proxy may apply a withdrawal that `withdrawn` does not contain: one of an
+            earlier incarnation, or one that was removed from it.
         unpublished: Slices whose published table is out of sync, by number.
         assignments_stale: Whether the assignments must be checked again because the list, its confidence, ownership,
             advice or a withdrawal has changed.
@@ -48,6 +50,7 @@
     known_proxies: dict[int, str] = field(default_factory=dict)
     list_received: bool = False
     withdrawn: dict[str, bool] = field(default_factory=dict)
+    may_lack_withdrawals: bool = False
     unpublished: dict[int, SliceState] = field(default_factory=dict)
     assignments_stale: bool = True
     published_levels: tuple[float, ...] = field(init=False)
@@ -68,6 +71,10 @@
         self.mean_rates = [0.0] * class_count
         self.report_span = float(self.settings.report_period)
 
+    def get_or_add_endpoint(self, name: str) -> EndpointState:
+        """Return the state of an endpoint; a new one without a list entry if it is not known."""
+        return self.endpoints.setdefault(name, EndpointState(name))
+
     def is_unroutable(self, name: str) -> bool:
         """Return whether the endpoint list forbids proxies to send to an endpoint.
 
--- a/damsonpick/decisions/planner.py
+++ b/damsonpick/decisions/planner.py
@@ -87,12 +87,12 @@
         """
         fleet, admission = self.fleet, self.admission
         return {
-            api.EndpointListChanged: self.endpoint_list.apply_change,
+            api.EndpointListChanged: self._apply_list_change,
             api.EndpointConfidenceChanged: self.endpoint_list.apply_confidence,
             api.EndpointReport: partial(load_reports.apply_endpoint_report, fleet),
             api.SliceDemand: partial(slice_demand.apply_demand_report, fleet),
             api.SliceOwnershipChanged: partial(slice_ownership.apply_ownership, fleet, admission),
-            api.StoredEntry: partial(slice_ownership.apply_stored_entry, fleet),
+            api.StoredEntry: self._apply_stored_entry,
             api.ProxyJoined: self.publisher.apply_proxy_joined,
             api.ProxyLeft: self.publisher.apply_proxy_left,
             api.SyncAcknowledged: self.publisher.apply_acknowledgement,
@@ -103,6 +103,14 @@
             api.FleetRestored: partial(warm_restart.restore_fleet, fleet, admission),
         }
 
+    def _apply_list_change(self, event: api.EndpointListChanged) -> None:
+        self.endpoint_list.apply_change(event)
+        self.publisher.withdrawals.apply_endpoints_named(entry.endpoint for entry in event.entries)
+
+    def _apply_stored_entry(self, event: api.StoredEntry) -> None:
+        slice_ownership.apply_stored_entry(self.fleet, event)
+        self.publisher.withdrawals.apply_endpoints_named([event.endpoint])
+
     def _tick(self, actions: list[api.Action]) -> None:
         """Run the time-dependent rules."""
         self.endpoint_list.poll_if_due(actions)
--- a/damsonpick/decisions/retention.py
+++ b/damsonpick/decisions/retention.py
@@ -19,10 +19,17 @@
     fleet.terminated_since = {n: fleet.terminated_since.get(n, fleet.now) for n in terminated}
     expired = {n: True for n, since in fleet.terminated_since.items() if fleet.now - since > MAX_PROXY_ABSENCE_NS}
     fleet.endpoints = {n: e for n, e in fleet.endpoints.items() if n not in expired}
+    for name in expired:
+        _remove_withdrawal(fleet, name)
 
 
 def remove_oldest_withdrawals(fleet: FleetState) -> None:
     """Remove the oldest withdrawal states until at most `MAX_WITHDRAWALS` remain."""
     while len(fleet.withdrawn) > MAX_WITHDRAWALS:
-        oldest = next(iter(fleet.withdrawn))
-        del fleet.withdrawn[oldest]
+        _remove_withdrawal(fleet, next(iter(fleet.withdrawn)))
+
+
+def _remove_withdrawal(fleet: FleetState, name: str) -> None:
+    """Forget the withdrawal state of an endpoint; proxies may go on applying it."""
+    if fleet.withdrawn.pop(name, None) is not None:
+        fleet.may_lack_withdrawals = True
--- a/damsonpick/decisions/slice_ownership.py
+++ b/damsonpick/decisions/slice_ownership.py
@@ -5,7 +5,6 @@
 from damsonpick import interface as api
 from damsonpick.decisions import handover
 from damsonpick.decisions.admission import AdmissionController
-from damsonpick.decisions.endpoint_state import EndpointState
 from damsonpick.decisions.fleet_state import FleetState
 from damsonpick.decisions.slice_state import SliceState
 
@@ -35,7 +34,7 @@
     slice_state = fleet.slices.get(event.slice)
     if slice_state is None or event.weight <= 0:
         return
-    fleet.endpoints.setdefault(event.endpoint, EndpointState(event.endpoint))
+    fleet.get_or_add_endpoint(event.endpoint)
     slice_state.published[event.endpoint] = event.weight
     slice_state.assigned.append(event.endpoint)
     slice_state.warmth[event.endpoint] = 1.0
--- a/damsonpick/decisions/withdrawals.py
+++ b/damsonpick/decisions/withdrawals.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from damsonpick import interface as api
@@ -40,16 +40,31 @@
 
         A proxy that is not fresh may also apply a withdrawal that is no longer in effect, so all withdrawal states are
         sent again. If the proxy joins this incarnation for the first time, it may apply withdrawals of earlier
-        incarnations that this one does not know. The withdrawal state of every known endpoint is therefore sent then.
+        incarnations that this one does not know. The withdrawal state of every known endpoint is therefore sent then,
+        and that of each further endpoint when it may be used (see `apply_endpoints_named`).
         """
         fleet = self.fleet
         self._record_missed()
         if event.fresh:
             return
         if event.proxy not in fleet.known_proxies:
+            fleet.may_lack_withdrawals = True
             fleet.withdrawn = dict.fromkeys(fleet.endpoints, False) | fleet.withdrawn
         self.resync = dict.fromkeys(name for name in fleet.withdrawn if name in fleet.endpoints)
 
+    def apply_endpoints_named(self, names: Iterable[str]) -> None:
+        """Schedule readmissions of endpoints that a list or a stored table has just named, if a proxy may need them.
+
+        A proxy may still apply a withdrawal that this incarnation does not know. It would use no entry of the endpoint.
+        """
+        fleet = self.fleet
+        if not fleet.may_lack_withdrawals:
+            return
+        for name in names:
+            if name not in fleet.withdrawn and not fleet.is_unroutable(name):
+                fleet.withdrawn[name] = False
+                self.resync[name] = None
+
     def to_readmit(self) -> list[str]:
         """Return the withdrawn endpoints that are routable again."""
         return [name for name, out in self.fleet.withdrawn.items() if out and not self.fleet.is_unroutable(name)]
--- a/tests/decisions/test_retention.py
+++ b/tests/decisions/test_retention.py
@@ -64,3 +64,15 @@
     assert not world.count("p") and not any("p" in table for table in world.tables.values())
     orders = world.handle(api.ProxyJoined(0, "a", 5.0, False)) + world.run(1)
     assert api.SetWithdrawn("p", True) in orders
+
+
+def test_an_endpoint_whose_withdrawal_was_forgotten_returns(monkeypatch):
+    """Regression (related to review, case 7): proxies kept a withdrawal that the planner had removed as the oldest."""
+    monkeypatch.setattr(retention, "MAX_WITHDRAWALS", 1)
+    world = SimulatedFleet(slices=12)
+    world.handle(api.EndpointListChanged("update", (entry("p", "terminated"), entry("q", "terminated"))))
+    world.run(5)
+    assert world.withdrawn == {"p": True, "q": True} and len(world.planner.withdrawn) == 1
+    world.handle(api.EndpointListChanged("update", (entry("p"), entry("q"))))
+    world.run(1)
+    assert world.withdrawn == {"p": False, "q": False}
--- a/tests/decisions/test_withdrawals.py
+++ b/tests/decisions/test_withdrawals.py
@@ -37,11 +37,12 @@
         self.proxies.remove(proxy)
         self.handle(api.ProxyLeft(proxy))
 
-    def restart_planner(self) -> None:
+    def restart_planner(self, unlisted: tuple[str, ...] = ()) -> None:
         """Replace the planner by one that knows the newest list and the stored tables. The proxies have left."""
         self.proxies = []
         self.planner = Planner(self.settings, 2)
-        states = {name: "terminating" if name in self.draining_since else "in_service" for name in NAMES}
+        listed = [name for name in NAMES if name not in unlisted]
+        states = {name: "terminating" if name in self.draining_since else "in_service" for name in listed}
         self.handle(api.EndpointListChanged("restored", tuple(entry(name, state) for name, state in states.items())))
         for number, table in self.tables.items():
             entries = [api.StoredEntry(number, name, weight) for name, weight in table.items()]
@@ -126,3 +127,43 @@
     assert api.SetWithdrawn("p", True) not in fleet.handle(api.ProxyJoined(1, "a", 5.0, True)) + fleet.run(2)
     orders = fleet.handle(api.SliceOwnershipChanged(40, True), api.StoredEntry(40, "p", 1.0))
     assert api.SetWithdrawn("p", True) in orders
+
+
+def cut_off_entries(fleet: ShrinkingFleet) -> list[tuple[int, int]]:
+    """Return the proxies and slices with an entry, none of which the proxy uses, as all are withdrawn there."""
+    tables = {number: set(table) for number, table in fleet.tables.items() if table}
+    return [(p, number) for p in fleet.proxies for number, names in tables.items() if names <= fleet.received[p]]
+
+
+def test_endpoints_that_return_after_a_restart_of_the_pilot_are_readmitted():
+    """Regression (review, case 7): proxies never used endpoints that were gone while the pilot was restarted."""
+    fleet = ShrinkingFleet(proxies=3)
+    gone = tuple(NAMES[:4])
+    fleet.handle(api.EndpointListChanged("update", tuple(entry(name, "terminated") for name in gone)))
+    fleet.run(4)
+    assert all(set(gone) <= fleet.received[proxy] for proxy in range(3))
+    fleet.restart_planner(unlisted=gone)
+    for proxy in range(3):
+        fleet.join(proxy, fresh=False)
+    fleet.run(4)
+    fleet.handle(api.EndpointListChanged("update", tuple(entry(name, started=fleet.now) for name in gone)))
+    for _ in range(60):
+        fleet.run(1)
+        assert not cut_off_entries(fleet)
+    assert any(set(gone) & set(table) for table in fleet.tables.values())
+
+
+def test_an_endpoint_that_only_a_gained_table_names_is_readmitted_before_a_list_is_received():
+    """Regression (related to review, case 7): a takeover names an endpoint before the list does."""
+    fleet = ShrinkingFleet(proxies=3)
+    gone = NAMES[0]
+    fleet.handle(api.EndpointListChanged("update", (entry(gone, "terminated"),)))
+    fleet.run(4)
+    fleet.restart_planner(unlisted=(gone,))
+    for proxy in range(3):
+        fleet.join(proxy, fresh=False)
+    fleet.run(1)
+    fleet.tables[107] = {gone: 1.0}  # another pilot had the slice meanwhile
+    fleet.handle(api.SliceOwnershipChanged(107, True), api.StoredEntry(107, gone, 1.0))
+    fleet.run(1)
+    assert not cut_off_entries(fleet)
