Read accepted connections only on demand, in turns and at a bounded rate

Cause: anyio reads an accepted TCP connection ahead until a read had to wait, which never happens to a peer that sent before the first read; and all messages of a read were handled in one turn, at any rate.

Why it works: accepted connections at the pilot's address and at SASP have no read-ahead, so the peer has to wait. 64 messages a turn, 1,000 a second for a connection and 4,000 for the process; unhandled input of all connections is bounded by 16 MiB. Who does not slow down for 5 s is rejected with one log line.

--- a/damsonpick/protocols/platform/connection.py
+++ b/damsonpick/protocols/platform/connection.py
@@ -25,11 +25,13 @@
         events: Events of the received reports, in order of arrival.
         heartbeat_requests: Number of heartbeats that the client has requested.
         drop_reasons: Reason for each dropped message, in order of arrival.
+        message_count: Number of decoded messages, valid or not.
     """
 
     events: list[api.Event] = field(default_factory=list)
     heartbeat_requests: int = 0
     drop_reasons: list[str] = field(default_factory=list)
+    message_count: int = 0
 
 
 class ConnectionRejectedError(PlatformError):
@@ -60,12 +62,13 @@
         self.frames = framing.FrameReader(MAX_FRAME_BYTES_BEFORE_JOIN)
         self._reports = reports
 
-    def feed(self, now_ns: int, data: bytes) -> ReceivedInput:
+    def feed(self, now_ns: int, data: bytes, max_messages: int | None = None) -> ReceivedInput:
         """Decode received bytes.
 
         Args:
             now_ns: Time at which the bytes were received.
-            data: The received bytes.
+            data: The received bytes; empty to decode messages that an earlier call has left.
+            max_messages: Largest number of messages to decode; None for all.
 
         Returns:
             The decoded input of the frames that these bytes complete.
@@ -77,7 +80,8 @@
         self.frames.feed(data)
         received = ReceivedInput()
         try:
-            while (body := self.frames.next_frame()) is not None:
+            while received.message_count != max_messages and (body := self.frames.next_frame()) is not None:
+                received.message_count += 1
                 self._process(body, received)
         except (FrameError, MessageError, ConnectionRejectedError) as error:
             rejected = ConnectionRejectedError(error.field, error.reason)
--- a/damsonpick/protocols/platform/connection_handler.py
+++ b/damsonpick/protocols/platform/connection_handler.py
@@ -5,19 +5,26 @@
 import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import ByteStream
 
 from damsonpick.protocols.platform import framing, http_client
 from damsonpick.protocols.platform.collaborators import EventSink
 from damsonpick.protocols.platform.connection import CollectorConnection, ConnectionRejectedError, ReceivedInput
 from damsonpick.protocols.platform.dropped_input_log import DroppedInput, DroppedInputLog
+from damsonpick.protocols.platform.errors import PlatformError
+from damsonpick.protocols.platform.input_limits import (
+    MAX_MESSAGES_PER_TURN,
+    ConnectionInput,
+    InputLimiter,
+    InputLimitError,
+)
 from damsonpick.protocols.platform.readiness import Readiness
 
 WRITE_TIMEOUT_S = 1.0
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 HEARTBEAT = framing.encode_frame(b'{"@type":"hb_ok"}')
 
 
@@ -31,11 +38,13 @@
         scope: Cancel scope of the task that serves the connection. Its deadline is the time by which the collector must
             join a zone. It is infinite once the collector has joined, and while the response to a heartbeat request
             waits until the pilot is ready.
+        source: What the connection has sent, for the limits on it.
     """
 
     connection: CollectorConnection
-    stream: SocketStream
+    stream: ByteStream
     scope: anyio.CancelScope
+    source: ConnectionInput = field(default_factory=ConnectionInput)
 
 
 class ConnectionHandler:
@@ -53,6 +62,7 @@
         self._enqueue = enqueue
         self._dropped_input_log = dropped_input_log
         self._report_count = 0
+        self._limiter = InputLimiter()
 
     def take_report_count(self) -> int:
         """Return the number of valid reports received since the previous call, and reset the number to 0."""
@@ -74,20 +84,40 @@
             while True:
                 await self._receive(opened, on_joined)
         except ConnectionRejectedError as error:
-            self._dropped_input_log.record(
-                DroppedInput.CONNECTION, f"{opened.connection.zone or 'not joined'}: {error}"
-            )
+            self._record_rejection(opened, error)
             await self.respond(opened, error.received)
+        except InputLimitError as error:
+            self._record_rejection(opened, error)
+        finally:
+            self._limiter.remove(opened.source)
+
+    def _record_rejection(self, opened: OpenConnection, error: PlatformError) -> None:
+        reason = f"{opened.connection.zone or 'not joined'}: {error}"
+        self._dropped_input_log.record(DroppedInput.CONNECTION, reason)
 
     async def _receive(self, opened: OpenConnection, on_joined: Callable[[CollectorConnection], None]) -> None:
-        connection = opened.connection
+        """Receive bytes and handle their messages, in turns between which other connections are served."""
         data = await opened.stream.receive(READ_BYTES)
+        has_more = True
+        while has_more:
+            received = self._decode(opened, data, on_joined)
+            await self.respond(opened, received)
+            self._limiter.record_buffered(opened.source, len(opened.connection.frames.buffer))
+            delay_s = self._limiter.spend(opened.source, anyio.current_time(), received.message_count)
+            await anyio.sleep(delay_s)
+            has_more = received.message_count == MAX_MESSAGES_PER_TURN
+            data = b""
+
+    def _decode(
+        self, opened: OpenConnection, data: bytes, on_joined: Callable[[CollectorConnection], None]
+    ) -> ReceivedInput:
+        connection = opened.connection
         was_joined = bool(connection.zone)
-        received = connection.feed(time.monotonic_ns(), data)
+        received = connection.feed(time.monotonic_ns(), data, MAX_MESSAGES_PER_TURN)
         if connection.zone and not was_joined:
             opened.scope.deadline = math.inf
             on_joined(connection)
-        await self.respond(opened, received)
+        return received
 
     async def respond(self, opened: OpenConnection, received: ReceivedInput) -> None:
         """Queue the events of received reports, log dropped messages, and answer heartbeat requests.
--- a/damsonpick/protocols/platform/connection_listener.py
+++ b/damsonpick/protocols/platform/connection_listener.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import errno
-from typing import Protocol, cast
+from typing import Protocol
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import ByteStream, TaskGroup
 
 from damsonpick.protocols.platform import messages
 from damsonpick.protocols.platform.address import Address
@@ -16,6 +16,7 @@
 from damsonpick.protocols.platform.connection_limiter import ConnectionLimiter
 from damsonpick.protocols.platform.dropped_input_log import DroppedInput, DroppedInputLog
 from damsonpick.protocols.platform.errors import ConfigError, TransportError
+from damsonpick.runtime.socket_stream import PulledSocketListener
 
 JOIN_TIMEOUT_S = 1.0
 ACCEPT_RETRY_DELAY_S = 0.05
@@ -33,7 +34,7 @@
 class Listener(Protocol):
     """A listening socket."""
 
-    async def accept(self) -> SocketStream:
+    async def accept(self) -> ByteStream:
         """Accept and return the next connection.
 
         Raises:
@@ -53,7 +54,7 @@
     except OSError as error:
         reason = f"{host}:{port}: {error.strerror or error}: listen needs a free port and an address of this host"
         raise ConfigError("listen", reason) from None
-    return cast(Listener, opened.listeners[0])
+    return PulledSocketListener(opened.listeners[0])
 
 
 class ConnectionListener:
@@ -103,7 +104,7 @@
             # For example, the peer reset the connection before it was accepted. No other connection needs to be closed.
             await anyio.sleep(0)
 
-    def _open(self, stream: SocketStream, group: TaskGroup) -> None:
+    def _open(self, stream: ByteStream, group: TaskGroup) -> None:
         connection = CollectorConnection(self._reports)
         scope = anyio.CancelScope(deadline=anyio.current_time() + JOIN_TIMEOUT_S)
         self._scopes[connection] = scope
--- a/damsonpick/protocols/platform/http_client.py
+++ b/damsonpick/protocols/platform/http_client.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import ByteStream, SocketStream
 
 from damsonpick.protocols.platform.address import Address
 from damsonpick.protocols.platform.errors import TransportError
@@ -70,7 +70,7 @@
     raise TransportError("receive", f"no data received for {timeout_s:g} s")
 
 
-async def send(stream: SocketStream, data: bytes, timeout_s: float) -> None:
+async def send(stream: ByteStream, data: bytes, timeout_s: float) -> None:
     """Send all bytes.
 
     Raises:
--- a/damsonpick/protocols/sasp/server.py
+++ b/damsonpick/protocols/sasp/server.py
@@ -33,6 +33,7 @@
 from damsonpick.protocols.shared.session import Session
 from damsonpick.protocols.shared.session_manager import SessionManager
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.socket_stream import PulledSocketListener, PulledSocketStream
 from damsonpick.runtime.supervision import ConnectionServer, keep_running
 from damsonpick.settings.model import PilotSettings
 
@@ -57,7 +58,7 @@
         end_reason: Why the connection ended.
     """
 
-    stream: SocketStream
+    stream: PulledSocketStream
     session: SaspSession
     write_lock: anyio.Lock = field(default_factory=anyio.Lock)
     push_ready: anyio.Event = field(default_factory=anyio.Event)
@@ -146,7 +147,7 @@
             group.start_soon(keep_running, "sasp refresh", self._refresh_periodically, self.log)
             server = ConnectionServer("sasp", self._serve, self.log)
             for listener in self._listener.listeners:
-                group.start_soon(server.serve, listener, group)
+                group.start_soon(server.serve, PulledSocketListener(listener), group)
 
     async def _refresh_periodically(self) -> None:
         """Expire registrations and enqueue advice that changed without a table change, every `REFRESH_INTERVAL_S`.
@@ -212,9 +213,9 @@
 
     # -- one connection
 
-    async def _serve(self, stream: SocketStream) -> None:
+    async def _serve(self, stream: PulledSocketStream) -> None:
         async with stream:
-            address = str(stream.extra(SocketAttribute.remote_address)[0])
+            address = stream.peer_host()
             max_sessions = self.settings.sasp.sessions
             if self._sessions_by_address[address] >= max_sessions:
                 self.log.warning(
@@ -229,7 +230,7 @@
                 await self._serve_session(connection)
 
     @contextmanager
-    def _connected(self, stream: SocketStream, address: str) -> Iterator[Connection]:
+    def _connected(self, stream: PulledSocketStream, address: str) -> Iterator[Connection]:
         """Create a connection that is registered with the server for the duration of the context."""
         rate_limiter = MessageRateLimiter(self.settings.sasp.messages_per_second)
         session = SaspSession(self.advisor, self.access.zone_of, rate_limiter)
--- a/damsonpick/runtime/supervision.py
+++ b/damsonpick/runtime/supervision.py
@@ -7,9 +7,10 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from typing import Generic, Protocol, TypeVar
 
 import anyio
-from anyio.abc import Listener, SocketStream, TaskGroup
+from anyio.abc import ByteStream, TaskGroup
 from structlog.typing import FilteringBoundLogger
 
 from damsonpick.runtime.backoff import Backoff
@@ -18,6 +19,7 @@
 MAX_RESTART_DELAY_S = 1.0  # shorter than the grace period of a drain
 STABLE_RUN_S = 10.0  # a failure after a longer run resets the restart delay to the shortest
 ACCEPT_RETRY_DELAY_S = 0.05  # without this delay the loop would spin until a file descriptor is free
+StreamType_co = TypeVar("StreamType_co", bound=ByteStream, covariant=True)
 REMEDY = "send this to the maintainers"
 
 
@@ -49,7 +51,18 @@
         await anyio.sleep(delay_s)
 
 
-class ConnectionServer:
+class Listener(Protocol[StreamType_co]):
+    """A listening socket."""
+
+    async def accept(self) -> StreamType_co:
+        """Accept and return the next connection.
+
+        Raises:
+            OSError, anyio.BrokenResourceError: The connection could not be accepted.
+        """
+
+
+class ConnectionServer(Generic[StreamType_co]):
     """Accepts connections and serves each in a separate task.
 
     Args:
@@ -59,14 +72,16 @@
             is logged.
     """
 
-    def __init__(self, name: str, handle: Callable[[SocketStream], Awaitable[None]], log: FilteringBoundLogger) -> None:
+    def __init__(
+        self, name: str, handle: Callable[[StreamType_co], Awaitable[None]], log: FilteringBoundLogger
+    ) -> None:
         """Initialize the server. It accepts no connections before `serve` is called."""
         self._name = name
         self._handle = handle
         self._log = log
         self._last_accept_succeeded = True
 
-    async def serve(self, listener: Listener[SocketStream], group: TaskGroup) -> None:
+    async def serve(self, listener: Listener[StreamType_co], group: TaskGroup) -> None:
         """Accept connections until cancelled. A lack of file descriptors neither ends the loop nor makes it spin."""
         while True:
             try:
@@ -84,7 +99,7 @@
             self._log.warning("accept_failed", server=self._name, reason=reason, remedy="check the limit on open files")
         self._last_accept_succeeded = False
 
-    async def _serve_connection(self, stream: SocketStream) -> None:
+    async def _serve_connection(self, stream: StreamType_co) -> None:
         try:
             await self._handle(stream)
         except Exception as error:
