Close idle connections first where a listener is full, and end messages that stop half way

Cause: the limit on sessions counted connections that had asked for nothing, which no time limit ended; the control socket had no limit at all, and waited without end for a client that reads no reply.

Why it works: ConnectionSlots closes the longest open idle connection for a new one, and refuses only if none is idle. SASP: 2,000 sessions for the process beside the limit by address, 10 s for the rest of a message. Control socket: 32 connections, 10 s for a request and for a reply. Requests of a client that has hung up are dropped.

--- a/damsonpick/controller/control_socket.py
+++ b/damsonpick/controller/control_socket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from collections.abc import Callable
 from pathlib import Path
@@ -13,6 +14,8 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 from structlog.typing import FilteringBoundLogger
 
+from damsonpick.runtime.connection_slots import ConnectionSlots, NoSlotError, Slot
+from damsonpick.runtime.sockets import is_hung_up
 from damsonpick.runtime.supervision import ConnectionServer
 
 Request = dict[str, Any]  # the key `ask` names the query; the other keys are its operation (`do`) and parameters
@@ -20,6 +23,10 @@
 
 MAX_REQUEST_BYTES = 65_536
 MAX_REPLY_BYTES = 64_000_000
+MAX_CONNECTIONS = 32  # open connections of the process; each may hold a request or a reply
+REQUEST_TIMEOUT_S = 10.0  # longest time without a complete request
+SEND_TIMEOUT_S = 10.0  # longest time in which a client must have read a reply
+TOO_MANY_CONNECTIONS = {"error": f"{MAX_CONNECTIONS} connections are being served; ask again later"}
 REPLY_TIMEOUT_S = 5.0
 OWNER_ONLY = 0o600
 CLIENT_DISCONNECTED = (
@@ -107,15 +114,17 @@
             that triggered it.
     """
 
+    slots = ConnectionSlots(MAX_CONNECTIONS)
+
     async def serve_client(stream: SocketStream) -> None:
         async with stream:
-            requests = BufferedByteReceiveStream(stream)
             try:
-                while True:
-                    text = await requests.receive_until(b"\n", MAX_REQUEST_BYTES)
-                    reply = _answer_text(answer, text)
-                    await stream.send(json.dumps(reply).encode() + b"\n")
-            except CLIENT_DISCONNECTED:
+                with slots.occupy() as slot:
+                    await _serve_requests(stream, slot, answer)
+            except NoSlotError:
+                with contextlib.suppress(TimeoutError, *CLIENT_DISCONNECTED):
+                    await _send_reply(stream, TOO_MANY_CONNECTIONS)
+            except (TimeoutError, *CLIENT_DISCONNECTED):
                 return
 
     try:
@@ -125,6 +134,28 @@
         path.unlink(missing_ok=True)
 
 
+async def _serve_requests(stream: SocketStream, slot: Slot, answer: Callable[[Request], Reply]) -> None:
+    """Answer the requests of one client, except those that arrive after it has closed the connection.
+
+    Raises:
+        TimeoutError: The client did not send a complete request, or did not read a reply, in time.
+    """
+    requests = BufferedByteReceiveStream(stream)
+    while True:
+        slot.idle = True
+        with anyio.fail_after(REQUEST_TIMEOUT_S):
+            text = await requests.receive_until(b"\n", MAX_REQUEST_BYTES)
+        if is_hung_up(stream):
+            return
+        slot.idle = False
+        await _send_reply(stream, _answer_text(answer, text))
+
+
+async def _send_reply(stream: SocketStream, reply: Reply) -> None:
+    with anyio.fail_after(SEND_TIMEOUT_S):
+        await stream.send(json.dumps(reply).encode() + b"\n")
+
+
 def _answer_text(answer: Callable[[Request], Reply], text: bytes) -> Reply:
     try:
         return answer(_parse_request(text))
--- a/damsonpick/protocols/sasp/server.py
+++ b/damsonpick/protocols/sasp/server.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
+import math
 import random
-from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -33,6 +33,7 @@
 from damsonpick.protocols.shared.session import Session
 from damsonpick.protocols.shared.session_manager import SessionManager
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.connection_slots import ConnectionSlots, NoSlotError, Slot
 from damsonpick.runtime.socket_stream import PulledSocketListener, PulledSocketStream
 from damsonpick.runtime.supervision import ConnectionServer, keep_running
 from damsonpick.settings.model import PilotSettings
@@ -40,6 +41,8 @@
 PEER_CLOSED = "the peer closed the connection"
 READ_BYTES = 65_536
 MAX_CONCURRENT_REQUESTS = 4  # requests per iteration of the event loop, limited so that a burst of polls delays no push
+MAX_SESSIONS = 2000  # open sessions of the process
+MESSAGE_TIMEOUT_S = 10.0  # longest time for the rest of a message that was received in part
 REFRESH_INTERVAL_S = 1.0  # interval of checks for changes that occur without a request or a table change
 # Approximate share of the send queue's limit that one refresh may enqueue for all sessions together. Groups with newly
 # quiesced members are enqueued even above it.
@@ -53,6 +56,7 @@
     Attributes:
         stream: The byte stream of the connection.
         session: State machine of the session.
+        slot: Slot of the connection, which is idle until the peer has sent a complete message.
         write_lock: Lock that is held while a reply or a push is written.
         push_ready: Event that is set when the session may have something to push.
         end_reason: Why the connection ended.
@@ -60,6 +64,7 @@
 
     stream: PulledSocketStream
     session: SaspSession
+    slot: Slot
     write_lock: anyio.Lock = field(default_factory=anyio.Lock)
     push_ready: anyio.Event = field(default_factory=anyio.Event)
     end_reason: str = PEER_CLOSED
@@ -114,7 +119,7 @@
         self.port = 0
         self._listener: MultiListener[SocketStream] | None = None
         self._connections: dict[SaspSession, Connection] = {}
-        self._sessions_by_address: Counter[str] = Counter()
+        self._slots = ConnectionSlots(MAX_SESSIONS, settings.sasp.sessions)
         self._request_slots = anyio.Semaphore(MAX_CONCURRENT_REQUESTS)
         self._statuses: dict[str, MemberStatus] = {}
 
@@ -216,34 +221,30 @@
     async def _serve(self, stream: PulledSocketStream) -> None:
         async with stream:
             address = stream.peer_host()
-            max_sessions = self.settings.sasp.sessions
-            if self._sessions_by_address[address] >= max_sessions:
-                self.log.warning(
-                    "sasp_session_refused",
-                    address=address,
-                    why="too many sessions from one address",
-                    limit=max_sessions,
-                    remedy="[sasp] sessions",
-                )
-                return
-            with self._connected(stream, address) as connection:
-                await self._serve_session(connection)
+            try:
+                with self._slots.occupy(address) as slot, self._connected(stream, slot) as connection:
+                    await self._serve_session(connection)
+            except NoSlotError:
+                self._log_refusal(address)
+
+    def _log_refusal(self, address: str) -> None:
+        if self._slots.count() < MAX_SESSIONS:
+            limit, why, remedy = self._slots.limit_by_owner, "too many sessions from one address", "[sasp] sessions"
+        else:
+            limit, why, remedy = MAX_SESSIONS, "too many sessions", "find out who opens them"
+        self.log.warning("sasp_session_refused", address=address, why=why, limit=limit, remedy=remedy)
 
     @contextmanager
-    def _connected(self, stream: PulledSocketStream, address: str) -> Iterator[Connection]:
+    def _connected(self, stream: PulledSocketStream, slot: Slot) -> Iterator[Connection]:
         """Create a connection that is registered with the server for the duration of the context."""
         rate_limiter = MessageRateLimiter(self.settings.sasp.messages_per_second)
         session = SaspSession(self.advisor, self.access.zone_of, rate_limiter)
-        connection = Connection(stream, session)
+        connection = Connection(stream, session, slot)
         self._connections[session] = connection
-        self._sessions_by_address[address] += 1
         try:
             yield connection
         finally:
             del self._connections[session]
-            self._sessions_by_address[address] -= 1
-            if not self._sessions_by_address[address]:
-                del self._sessions_by_address[address]
             self.registry.leave(self.clock.now(), session)
             if session in self.session_manager.by_session:
                 self.log.info("balancer_left", balancer=session.node, why=connection.end_reason)
@@ -272,20 +273,30 @@
     async def _read(self, connection: Connection) -> str:
         """Answer requests until the peer disconnects or a frame is invalid, and return the reason."""
         splitter = codec.Splitter()
+        deadline_s = math.inf  # for the rest of a message
         while True:
             try:
-                data = await connection.stream.receive(READ_BYTES)
+                with anyio.fail_at(deadline_s):
+                    data = await connection.stream.receive(READ_BYTES)
             except anyio.EndOfStream:
                 return PEER_CLOSED
+            except TimeoutError:
+                return f"a message was not complete after {MESSAGE_TIMEOUT_S:g} s"
             try:
                 for frame in splitter.feed(data):
+                    deadline_s = math.inf
+                    if connection.stream.is_reset():
+                        return PEER_CLOSED
                     await self._answer(connection, frame)
+                if splitter.buffer and deadline_s == math.inf:
+                    deadline_s = anyio.current_time() + MESSAGE_TIMEOUT_S
             except codec.FrameError as error:
                 self.log.warning("sasp_frame_invalid", balancer=connection.session.node, why=str(error))
                 return str(error)
 
     async def _answer(self, connection: Connection, frame: bytes) -> None:
         session = connection.session
+        connection.slot.idle = False
         async with self._request_slots:
             reply = self._handle(session, frame)
             await anyio.lowlevel.checkpoint()
--- a/damsonpick/runtime/sockets.py
+++ b/damsonpick/runtime/sockets.py
@@ -1,4 +1,4 @@
-"""Checks the state of a TCP socket without reading from it."""
+"""Checks the state of a socket without reading from it."""
 
 from __future__ import annotations
 
@@ -20,3 +20,16 @@
     except (anyio.TypedAttributeLookupError, ValueError, OSError):
         return False
     return not poller.poll(0)
+
+
+def is_hung_up(stream: SocketStream) -> bool:
+    """Return whether the peer has closed both directions of a connection, or the connection has failed.
+
+    A TCP peer that closes its socket is seen only when it resets the connection, as it may still read until then.
+    """
+    poller = select.poll()
+    try:
+        poller.register(stream.extra(SocketAttribute.raw_socket), 0)
+    except (anyio.TypedAttributeLookupError, ValueError, OSError):
+        return True
+    return bool(poller.poll(0))
