Bound load reports, node ids and open streams of the xDS server

Cause: only ADS requests had a rate limit; node ids had neither a limit on their number nor on their length.

--- a/benchmarks/bad_clients.py
+++ b/benchmarks/bad_clients.py
@@ -266,6 +266,34 @@
                 next(iter(call(iter([request.SerializeToString()]), timeout=2)), None)
 
 
+def _http2_frame(kind: int, flags: int, stream: int, payload: bytes) -> bytes:
+    return struct.pack("!I", len(payload))[1:] + bytes([kind, flags]) + struct.pack("!I", stream) + payload
+
+
+def _header(name: bytes, value: bytes) -> bytes:
+    """Return one header field as a literal without indexing (RFC 7541, 6.2.2)."""
+    return bytes([0, len(name)]) + name + bytes([len(value)]) + value
+
+
+def half_grpc_message(path: bytes) -> bytes:
+    """Return the start of a gRPC call whose message of 3 MB ends after 60 kB (RFC 9113)."""
+    fields = [
+        (b":method", b"POST"),
+        (b":scheme", b"http"),
+        (b":path", path),
+        (b":authority", b"x"),
+        (b"te", b"trailers"),
+    ]
+    headers = b"".join(_header(name, value) for name, value in [*fields, (b"content-type", b"application/grpc")])
+    message = struct.pack("!BI", 0, 3_000_000) + bytes(60_000)
+    data = b"".join(_http2_frame(0, 0, 1, message[k : k + 16_000]) for k in range(0, len(message), 16_000))
+    start = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + _http2_frame(4, 0, 0, b"") + _http2_frame(4, 1, 0, b"")
+    return start + _http2_frame(1, 4, 1, headers) + data
+
+
+ADS_PATH = b"/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources"
+
+
 def _stream(grpc: Any, port: int, method: str, message: Callable[[int], bytes], seconds: float) -> None:
     until = time.monotonic() + seconds
 
@@ -577,6 +605,7 @@
         sasp_server, (lambda t, s: flood(tcp(t.port), _sasp_balancer(1), _sasp_poll(1)[:-2] + b"\xff\xff", s),)
     ),
     "b/sasp/new-balancers": Play(sasp_server, (lambda t, s: flood_new_balancers(t.port, s),) * 2),
+    "a/xds/half-messages": Play(xds_server, (lambda t, s: crowd(tcp(t.port), half_grpc_message(ADS_PATH), b"", s),)),
     "b/xds/requests": Play(xds_server, (lambda t, s: flood_xds(t.port, s),)),
     "b/xds/load-stats": Play(xds_server, (lambda t, s: flood_load_stats(t.port, s),) * 2),
     "b/xds/load-stats-nodes": Play(xds_server, (lambda t, s: flood_load_stats_nodes(t.port, s),) * 2),
--- a/damsonpick/protocols/sasp/server.py
+++ b/damsonpick/protocols/sasp/server.py
@@ -37,6 +37,7 @@
 from damsonpick.runtime.socket_stream import PulledSocketListener, PulledSocketStream
 from damsonpick.runtime.supervision import ConnectionServer, keep_running
 from damsonpick.settings.model import PilotSettings
+from damsonpick.state.store.errors import GatewayLimitError
 
 PEER_CLOSED = "the peer closed the connection"
 READ_BYTES = 65_536
@@ -260,6 +261,15 @@
                 group.cancel_scope.cancel()
         except* (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError) as errors:
             connection.end_reason = "the peer does not read" if errors.subgroup(TimeoutError) else "connection failed"
+        except* GatewayLimitError as errors:
+            connection.end_reason = str(errors.exceptions[0])
+            self.log.warning(
+                "sasp_session_refused",
+                address=connection.slot.owner,
+                why=connection.end_reason,
+                limit=errors.exceptions[0].limit,
+                remedy="let balancers keep their ids",
+            )
         except* Exception as errors:  # an internal error must end this session only
             connection.end_reason = "internal error"
             self.log.error(
--- a/damsonpick/protocols/xds/errors.py
+++ b/damsonpick/protocols/xds/errors.py
@@ -47,3 +47,17 @@
         """Build the message that states the accepted rate."""
         super().__init__(f"over {limit_per_s:g} requests a second: no client needs that")
         self.limit_per_s = limit_per_s
+
+
+class NodeIdTooLongError(StreamError):
+    """The node id is longer than any gateway needs."""
+
+    def __init__(self, max_chars: int) -> None:
+        """Build the message that states the limit."""
+        super().__init__(f"node.id is longer than {max_chars} characters")
+
+
+class TooManyNodesError(StreamError):
+    """No number is left for a new node id."""
+
+    status = "RESOURCE_EXHAUSTED"
--- a/damsonpick/protocols/xds/server.py
+++ b/damsonpick/protocols/xds/server.py
@@ -15,12 +15,14 @@
 from damsonpick.protocols.shared.session_manager import FIRST_DUPLICATE_NUMBER, SessionManager
 from damsonpick.protocols.xds import load_stats
 from damsonpick.protocols.xds.delta_session import DeltaSession
-from damsonpick.protocols.xds.errors import RequestFormatError, StreamError
+from damsonpick.protocols.xds.errors import RequestFormatError, StreamError, TooManyNodesError
 from damsonpick.protocols.xds.names import ADS_SERVICE, LRS_SERVICE
-from damsonpick.protocols.xds.session import Session
+from damsonpick.protocols.xds.request_rate import LOAD_REPORT_BURST, LOAD_REPORTS_PER_S, RequestRateLimit
+from damsonpick.protocols.xds.session import Session, check_node_id
 from damsonpick.protocols.xds.session_events import WARNING_EVENTS
 from damsonpick.protocols.xds.sotw_session import SotwSession
 from damsonpick.state.load_reports import ClientReport
+from damsonpick.state.store.errors import GatewayLimitError
 
 SERVER_OPTIONS = [  # the server detects within 20 s that a client has disappeared without closing its connection
     ("grpc.keepalive_time_ms", 10000),
@@ -31,6 +33,8 @@
     ("grpc.so_reuseport", 0),
 ]
 
+MAX_STREAMS = 8_192  # open streams of the process, ADS and LRS together; further ones get RESOURCE_EXHAUSTED
+
 RequestType: TypeAlias = type[discovery_pb2.DiscoveryRequest] | type[discovery_pb2.DeltaDiscoveryRequest]
 
 
@@ -90,7 +94,7 @@
     async def start(self, address: str, max_message_bytes: int) -> tuple[grpc.aio.Server, int]:
         """Listen on an address and return the server and its port."""
         options = [*SERVER_OPTIONS, ("grpc.max_receive_message_length", max_message_bytes)]
-        server = grpc.aio.server(options=options)
+        server = grpc.aio.server(options=options, maximum_concurrent_rpcs=MAX_STREAMS)
         ads_methods = {
             "StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(self._serve_sotw),
             "DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(self._serve_delta),
@@ -172,7 +176,10 @@
             self._notify()
 
     def _join(self, session: Session) -> None:
-        client = self.session_manager.join(self._now(), session)
+        try:
+            client = self.session_manager.join(self._now(), session)
+        except GatewayLimitError as error:
+            raise TooManyNodesError(str(error)) from None
         self.log.info(
             "gateway_joined",
             gateway=session.node,
@@ -211,18 +218,31 @@
         The first message identifies the node. The server answers it with a LoadStatsResponse, which asks the client to
         report on all clusters and their endpoints once per report period.
         """
+        try:
+            await self._receive_load_stats(requests, context)
+        except DecodeError:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "a report is no LoadStatsRequest")
+        except StreamError as error:
+            self.log.warning("stream_rejected", gateway=context.peer(), reason=str(error))
+            await context.abort(grpc.StatusCode[error.status], str(error))
+
+    async def _receive_load_stats(self, requests: AsyncIterator[bytes], context: grpc.aio.ServicerContext) -> None:
         node, zone, number = "", "", -1
+        rate_limit = RequestRateLimit(LOAD_REPORTS_PER_S, LOAD_REPORT_BURST)
         async for raw_request in requests:
-            try:
-                request = lrs_pb2.LoadStatsRequest.FromString(raw_request)
-            except DecodeError:
-                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "a report is no LoadStatsRequest")
+            rate_limit.count_request(self._now())
+            request = lrs_pb2.LoadStatsRequest.FromString(raw_request)
             if not node:
                 node, zone = request.node.id, request.node.locality.zone
-                if not node:
-                    await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "the first report names no node.id")
-                number = self.session_manager.number_of(node)
+                number = self._number_of(node)
                 await context.write(load_stats.report_request(self.report_period).SerializeToString())
             report = load_stats.read(number, zone, request)
             if report is not None:
                 self._receive_report(report)
+
+    def _number_of(self, node: str) -> int:
+        check_node_id(node)
+        try:
+            return self.session_manager.number_of(node)
+        except GatewayLimitError as error:
+            raise TooManyNodesError(str(error)) from None
--- a/damsonpick/protocols/xds/session.py
+++ b/damsonpick/protocols/xds/session.py
@@ -12,7 +12,7 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 from damsonpick.protocols.shared.session import CoveredChanges
-from damsonpick.protocols.xds.errors import MissingNodeIdError
+from damsonpick.protocols.xds.errors import MissingNodeIdError, NodeIdTooLongError
 from damsonpick.protocols.xds.names import EDS, RDS, SEND_ORDER, SHORT_NAMES
 from damsonpick.protocols.xds.rejections import RejectionHandler
 from damsonpick.protocols.xds.request_rate import RequestRateLimit
@@ -24,12 +24,26 @@
 
 MAX_IN_FLIGHT = 4  # responses per resource type; while that many are unanswered, further changes wait and are merged
 MAX_TYPE_URL_CHARS = 200  # a longer type URL that is unknown is cut to this length in the log
+MAX_NODE_ID_CHARS = 256
 MAX_NONCE_CHARS = 80  # a longer nonce that is unknown is cut to this length in the log
 SEQ_UPPER_BOUND = 1 << 62  # greater than every sequence number
 
 Request: TypeAlias = discovery_pb2.DiscoveryRequest | discovery_pb2.DeltaDiscoveryRequest
 
 
+def check_node_id(node: str) -> None:
+    """Check the id with which a client identifies itself.
+
+    Raises:
+        MissingNodeIdError: It is empty.
+        NodeIdTooLongError: It is longer than `MAX_NODE_ID_CHARS`.
+    """
+    if not node:
+        raise MissingNodeIdError
+    if len(node) > MAX_NODE_ID_CHARS:
+        raise NodeIdTooLongError(MAX_NODE_ID_CHARS)
+
+
 class Session:
     """Base class of both variants. `protocols.shared.session.Session` documents the public attributes.
 
@@ -72,7 +86,7 @@
             request: Request of the session's variant.
 
         Raises:
-            MissingNodeIdError: The first request has no node id.
+            MissingNodeIdError, NodeIdTooLongError: The first request has no node id, or one that is too long.
             RequestRateError: The client exceeds the request rate limit of the stream.
         """
         self._request_rate.count_request(now)
@@ -92,8 +106,7 @@
             self.node = request.node.id
             self.zone = request.node.locality.zone
             self.verifies_roots = root_statement.CLIENT_FEATURE in request.node.client_features
-        if not self.node:
-            raise MissingNodeIdError
+        check_node_id(self.node)
 
     def _apply_answer(self, now: int, watch: ResourceWatch, request: Request) -> None:
         """Process the answer (ACK or NACK) in a request.
--- a/damsonpick/state/store/errors.py
+++ b/damsonpick/state/store/errors.py
@@ -43,3 +43,16 @@
         self.key = key
         self.stored = stored
         self.expected = expected
+
+
+class GatewayLimitError(Exception):
+    """So many node ids are known that no number is left for a new one.
+
+    Attributes:
+        limit: Most node ids that are known.
+    """
+
+    def __init__(self, limit: int) -> None:
+        """Build the message that states the limit."""
+        super().__init__(f"{limit} node ids are known already; let gateways keep their ids when they restart")
+        self.limit = limit
--- a/damsonpick/state/store/sqlite.py
+++ b/damsonpick/state/store/sqlite.py
@@ -17,9 +17,10 @@
 
 from damsonpick import interface as api
 from damsonpick.state.store.connection import connect, has_column, transaction
-from damsonpick.state.store.errors import StoreMismatchError, StoreUnusableError
+from damsonpick.state.store.errors import GatewayLimitError, StoreMismatchError, StoreUnusableError
 from damsonpick.state.store.leases import SliceLease
 
+MAX_GATEWAYS = 50_000  # node ids that have a number; below the numbers of additional streams of one node id
 SCHEMA_VERSION = 1
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS about (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
@@ -169,12 +170,18 @@
     # -- gateways and endpoint list
 
     def gateway_number(self, node: str) -> int:
-        """Return the number of a node id; assign one if the node is new. It persists across restarts of the pilot."""
+        """Return the number of a node id; assign one if the node is new. It persists across restarts of the pilot.
+
+        Raises:
+            GatewayLimitError: The node is new, and `MAX_GATEWAYS` others are known.
+        """
         row = self.db.execute("SELECT number FROM gateways WHERE node = ?", (node,)).fetchone()
         if row:
             return row[0]
         with self.transaction():
             last = self.db.execute("SELECT COALESCE(MAX(number), -1) FROM gateways").fetchone()[0]
+            if last + 1 >= MAX_GATEWAYS:
+                raise GatewayLimitError(MAX_GATEWAYS)
             self.db.execute("INSERT INTO gateways VALUES (?, ?)", (last + 1, node))
         return last + 1
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,7 +10,9 @@
 
 import pytest
 
-from damsonpick.state.store.errors import StoreError
+from damsonpick.protocols.shared.session_manager import FIRST_DUPLICATE_NUMBER
+from damsonpick.state.store import sqlite as sqlite_store
+from damsonpick.state.store.errors import GatewayLimitError, StoreError
 from damsonpick.state.store.sqlite import Store
 from tests.helpers import SECOND, entry
 
@@ -49,7 +51,9 @@
 WRITER = """
 import sys
 from pathlib import Path
-from damsonpick.state.store.errors import StoreError
+from damsonpick.protocols.shared.session_manager import FIRST_DUPLICATE_NUMBER
+from damsonpick.state.store import sqlite as sqlite_store
+from damsonpick.state.store.errors import GatewayLimitError, StoreError
 from damsonpick.state.store.sqlite import Store
 store = Store(Path(sys.argv[1]), 8)
 k = 0
@@ -87,3 +91,15 @@
     with pytest.raises(sqlite3.Error):
         store.save_tables({0: {"y": 1.0}, 1: {"z": None}})
     assert store.load_tables() == {0: {"x": 1.0}, 1: {}}
+
+
+def test_node_ids_are_not_remembered_without_end(tmp_path, monkeypatch):
+    """Regression (operators, picture b): ever new node ids got numbers until these met those of duplicated streams."""
+    monkeypatch.setattr(sqlite_store, "MAX_GATEWAYS", 3)
+    store = Store(tmp_path / "store", 4)
+    assert [store.gateway_number(node) for node in "abc"] == [0, 1, 2]
+    with pytest.raises(GatewayLimitError, match="3 node ids"):
+        store.gateway_number("d")
+    assert store.gateway_number("b") == 1
+    monkeypatch.undo()
+    assert sqlite_store.MAX_GATEWAYS < FIRST_DUPLICATE_NUMBER
