Bound what slow clients of the proxy take in time, memory and connections to servers

What callers saw (400 clients, benchmarks/bad_clients.py): heads sent byte by byte: an ordinary request took 1.2 s, 1 of 3 failed; half bodies: 37 of 41 failed; heads of 4,000 fields: 50 of 73 failed, 160 MB; 2,000 requests sent at once: 330 MB.

Cause: the whole unfinished head was searched again for each byte; fields of a head and requests parsed ahead had no limit; attempts with unfinished bodies held all connections to a server; read-ahead had no limit for the process.

Why it works: the search goes on where it ended; 200 fields a message (431), 16 requests parsed ahead; unfinished bodies use at most half of the connections to a server, wait in order, and get 503 beyond that; 64 KiB unread a connection, 64 MiB in the process.

Not mended: 400 clients with a request in progress each still slow the others to 1 s.

--- a/benchmarks/bad_clients.py
+++ b/benchmarks/bad_clients.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import contextlib
 import json
 import multiprocessing
@@ -25,7 +26,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, ClassVar, NamedTuple
 
 import psutil
 
@@ -39,8 +40,9 @@
 PROBE_TIMEOUT_S = 5.0
 SAMPLE_S = 0.02
 MANY_CLIENTS = 400
+SERVICE_S = 0.002  # in which a server behind the proxy answers
 FIELDS = 4000  # header fields of a head with very many short ones
-PIPELINED = 200  # requests that a client writes at once
+PIPELINED = 10_000  # requests that a client writes at once before it leaves
 MEGABYTE = 1_000_000
 HOST = "127.0.0.1"
 
@@ -62,7 +64,7 @@
     port: int
     path: str
     probe: Callable[[], None]
-    executed: dict[str, int]
+    executed: Callable[[], dict[str, int]] = dict
 
 
 # -- bad clients
@@ -359,7 +361,7 @@
     command = [sys.executable, "-m", "damsonpick.edge"]
     with _process(command, folder, EDGE_CONFIG=str(folder / "config.json")) as process:
         _wait_for(lambda: probe() is None)
-        yield Target(process.pid, port, "", probe, {})
+        yield Target(process.pid, port, "", probe)
 
 
 DAEMON = """
@@ -423,7 +425,7 @@
     with _process(command, folder) as process:
         _wait_for((folder / "port").exists)
         _wait_for(lambda: probe() is None)
-        yield Target(process.pid, int((folder / "port").read_text()), str(_control_path(folder)), probe, {})
+        yield Target(process.pid, int((folder / "port").read_text()), str(_control_path(folder)), probe)
     del control
 
 
@@ -471,40 +473,60 @@
         yield target._replace(probe=probe)
 
 
-class _CountingServer(threading.Thread):
-    """A plain HTTP server that counts each request by its id."""
+class _CountingServer(asyncio.Protocol):
+    """A plain HTTP server that counts each request by its id and drops bodies. `/counts` returns the counts."""
 
-    def __init__(self) -> None:
-        super().__init__(daemon=True)
-        self.listener = socket.create_server((HOST, 0))
-        self.port = self.listener.getsockname()[1]
-        self.executed: dict[str, int] = {}
+    executed: ClassVar[dict[str, int]] = {}
 
-    def run(self) -> None:
-        while True:
-            connection, _ = self.listener.accept()
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport, self.data, self.body_left = transport, b"", 0
 
-    def _serve(self, connection: socket.socket) -> None:
+    def data_received(self, data: bytes) -> None:
+        dropped = min(self.body_left, len(data))
+        self.body_left -= dropped
+        self.data += data[dropped:]
+        while not self.body_left and b"\r\n\r\n" in self.data:
+            head, _, rest = self.data.partition(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0] or 0)
+            self.body_left = max(0, length - len(rest))
+            self.data = rest[length:]
+            self.answer(head)
+
+    def answer(self, head: bytes) -> None:
+        body = b"ok"
+        if head.startswith(b"GET /counts "):
+            body = json.dumps(self.executed).encode()
+        number = head.partition(b"x-request-id: ")[2].split(b"\r\n")[0].decode()
+        self.executed[number] = self.executed.get(number, 0) + 1
+        text = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+        asyncio.get_running_loop().call_later(SERVICE_S, self.transport.write, text)
+
+
+def _serve_counting(port: int) -> None:
+    async def run() -> None:
+        server = await asyncio.get_running_loop().create_server(_CountingServer, HOST, port, backlog=1024)
+        await server.serve_forever()
+
+    asyncio.run(run())
+
+
+def _counts(port: int) -> dict[str, int]:
+    with socket.create_connection((HOST, port), timeout=PROBE_TIMEOUT_S) as connection:
+        connection.sendall(b"GET /counts HTTP/1.1\r\nhost: x\r\n\r\n")
         data = b""
-        with contextlib.suppress(OSError), connection:
-            while received := connection.recv(65_536):
-                data += received
-                while b"\r\n\r\n" in data:
-                    head, _, data = data.partition(b"\r\n\r\n")
-                    number = head.partition(b"x-request-id: ")[2].split(b"\r\n")[0].decode()
-                    self.executed[number] = self.executed.get(number, 0) + 1
-                    time.sleep(0.002)
-                    connection.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        while not data.endswith(b"}"):
+            data += connection.recv(1 << 20)
+    return json.loads(data.partition(b"\r\n\r\n")[2])
 
 
 @contextmanager
 def proxy(folder: Path) -> Iterator[Target]:
     """Run the proxy below a daemon, in front of one server; the probe is a request on a new connection."""
-    server = _CountingServer()
+    server_port = free_port()
+    server = multiprocessing.get_context("fork").Process(target=_serve_counting, args=(server_port,), daemon=True)
     server.start()
     (folder / "daemon").mkdir()
-    with daemon(folder / "daemon", [server.port]) as pilot:
+    with daemon(folder / "daemon", [server_port]) as pilot:
         (folder / "proxy.ini").write_text(
             f"[proxy]\nname = px\nzone = a\nslices = 6\npilots = {HOST}:{pilot.port}\n[class page]\ndeadline = 4 s\n"
         )
@@ -522,7 +544,8 @@
             _wait_for((folder / "proxy.port").exists)
             _wait_for(lambda: probe() is None)
             port = int((folder / "proxy.port").read_text())
-            yield Target(process.pid, port, "", probe, server.executed)
+            yield Target(process.pid, port, "", probe, lambda: _counts(server_port))
+    server.kill()
 
 
 # -- plays
@@ -589,6 +612,10 @@
     "b/pilot/unsound-first": Play(platform_pilot, (_flood(b"", UNSOUND_REPORT * 1000),) * 3),
     "a/proxy/half-bodies": Play(proxy, (_crowd(HALF_BODY, b"x"),)),
     "a/proxy/half-heads": Play(proxy, (_crowd(HALF_HEAD, b"x"),)),
+    "a/proxy/many-fields-in-flight": Play(proxy, (_crowd(MANY_FIELDS + b"content-length: 9\r\n\r\n", b""),)),
+    "a/proxy/pipelined-by-many": Play(
+        proxy, (lambda t, s: crowd(tcp(t.port), _http_requests(2000), _http_requests(1), s),)
+    ),
     "a/proxy/many-fields": Play(proxy, (_crowd(MANY_FIELDS, b"y:\r\n"),)),
     "b/proxy/pipelined": Play(proxy, (lambda t, s: flood(_connect(t), b"", _http_requests(20_000), s),)),
     "b/proxy/unsound": Play(proxy, (_flood(b"", b"GET / HTTP/1.1\r\n\r\n" * 1000),)),
@@ -623,8 +650,8 @@
         if name.split("/")[1] != "control":
             target = target._replace(path="")
         measured = _measure(target, chosen)
-        if target.executed:
-            ids = {number: count for number, count in target.executed.items() if number.startswith("left")}
+        ids = {number: count for number, count in target.executed().items() if number.startswith("left")}
+        if ids:
             measured["executed_of_gone_clients"] = len(ids)
             measured["executed_twice"] = sum(count > 1 for count in ids.values())
     return measured
--- a/damsonpick/proxy/client.py
+++ b/damsonpick/proxy/client.py
@@ -41,7 +41,7 @@
         self.stream = stream
         self.limits = limits
         self.timeouts = timeouts
-        self.reader = http.Reader(True, limits.head)
+        self.reader = http.Reader(True, limits.head, limits.fields)
         self.address = stream.peer()
         self.request_complete = True  # whether the current request was read to its end
         self.response_started = False  # whether a part of the response was sent
@@ -53,15 +53,25 @@
 
     def pending(self) -> bool:
         """Return whether any received data is left to process: parsed events, a partial head or unread bytes."""
-        return bool(self._events or self.reader.partial_head or self.stream.data)
+        return bool(self._events or self.reader.partial_head or self.reader.unparsed or self.stream.data)
 
     def disconnected(self) -> bool:
         """Return whether the client closed the connection or it was lost, and all received data was read."""
         return (self.stream.eof or self.stream.lost) and not self.stream.data
 
+    def body_received(self) -> bool:
+        """Return whether the whole body of the current request has been received, if not yet processed."""
+        return self.request_complete or any(isinstance(event, http.End) for event in self._events)
+
+    def has_left(self) -> bool:
+        """Return whether the client closed the connection or it was lost, whether or not its data was read."""
+        return self.stream.is_hung_up()
+
     async def _read_events(self, timeout_s: float) -> bool:
         """Read until there is an event. Return False if the stream ends first."""
         until = self.stream.time() + timeout_s
+        if not self._events and self.reader.unparsed:
+            self._events.extend(self.reader.feed(b""))
         while not self._events:
             try:
                 data = await self.stream.receive(until)
--- a/damsonpick/proxy/messages.py
+++ b/damsonpick/proxy/messages.py
@@ -32,6 +32,7 @@
 HEADER_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 WELL_FORMED_HEAD = re.compile(rb"[^\r\n\0]+\r\n(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r\n\0]*\r\n)*\r\n")
 BARE_LINE_END_TEXT = "a bare CR or LF stands in the head; end lines with CR LF"
+MAX_PARSED_REQUESTS = 16  # requests that are parsed ahead on one connection
 MAX_LENGTH_DIGITS = 18  # most digits that are accepted in a content-length value
 METHODS_WITHOUT_BODY = (b"GET", b"HEAD", b"OPTIONS")
 REASON_PHRASES = {
@@ -105,17 +106,20 @@
     Each direction of a connection has its own reader.
     """
 
-    def __init__(self, requests: bool, max_head_bytes: int = 16_384) -> None:
+    def __init__(self, requests: bool, max_head_bytes: int = 16_384, max_fields: int = 200) -> None:
         """Create a reader that expects the start of a message.
 
         Args:
             requests: Whether to read requests. Otherwise the reader reads responses.
             max_head_bytes: Largest accepted size of a head.
+            max_fields: Largest accepted number of header fields of a head, and of the trailers.
         """
-        self.requests, self.max_head_bytes = requests, max_head_bytes
+        self.requests, self.max_head_bytes, self.max_fields = requests, max_head_bytes, max_fields
+        self.unparsed = b""  # received bytes after `MAX_PARSED_REQUESTS` complete requests
         self.parser = httptools.HttpRequestParser(self) if requests else httptools.HttpResponseParser(self)
         self.events: list[Head | Body | End] = []
         self.partial_head = bytearray()  # received bytes of an incomplete head
+        self.completed = 0  # messages completed by the current call of `feed`
         self.in_body = False  # whether the head of the current message is complete and its end is not parsed yet
         self.body_left: int | None = None  # unparsed bytes of a body with a known length; None for any other body
         self.chunked = False
@@ -138,6 +142,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle one header or trailer."""
+        if len(self.fields) >= self.max_fields:
+            raise HttpProtocolError(f"there are over {self.max_fields} header fields", 431)
         self.fields.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -155,15 +161,25 @@
         """Handle the end of the message."""
         self.events.append(End(self.fields if self.in_trailers else []))
         self.in_body = False
+        self.completed += 1
 
     def feed(self, data: bytes) -> list[Head | Body | End]:
         """Parse received bytes and return the resulting events.
 
+        At most `MAX_PARSED_REQUESTS` requests are completed, so that a client that sends very many at once occupies
+        little more memory than their bytes. The next call continues, also without further bytes.
+
         Raises:
             HttpProtocolError: The bytes are not a message that this proxy accepts.
         """
+        data = self.unparsed + data if self.unparsed else data
+        self.unparsed = b""
+        self.completed = 0
         while data:
             data = self._parse_body(data) if self.in_body else self._collect_head(data)
+            if self.requests and self.completed >= MAX_PARSED_REQUESTS:
+                self.unparsed = data
+                break
         return self.take_events()
 
     def take_events(self) -> list[Head | Body | End]:
@@ -209,11 +225,12 @@
                 head = data[:end]
                 self._parse_head(head)
                 return data[end:]
+        checked = max(0, len(self.partial_head) - 3)  # the rest of an end of the head may be in the new data
         self.partial_head += data
-        end = self.partial_head.find(b"\r\n\r\n")
+        end = self.partial_head.find(b"\r\n\r\n", checked)
         head_size = end + 4 if end >= 0 else len(self.partial_head)
         ends_with_cr = end < 0 and self.partial_head.endswith(b"\r")  # the LF of this CR may be in the next data
-        if BARE_LINE_END.search(self.partial_head, 0, head_size - ends_with_cr):
+        if BARE_LINE_END.search(self.partial_head, checked, head_size - ends_with_cr):
             raise HttpProtocolError(BARE_LINE_END_TEXT)
         if head_size > self.max_head_bytes:
             raise HttpProtocolError(f"the head is over {self.max_head_bytes} bytes", 431)
--- a/damsonpick/proxy/request_handler.py
+++ b/damsonpick/proxy/request_handler.py
@@ -20,6 +20,7 @@
 from damsonpick.proxy.server_connector import ServerConnector
 from damsonpick.proxy.settings import ProxySettings
 from damsonpick.proxy.stream import Stream
+from damsonpick.proxy.upload_limit import TOO_MANY_UPLOADS
 from damsonpick.proxy.upstream_request import DEADLINE, TIMED_OUT, AttemptError, UpstreamConnection, UpstreamRequest
 from damsonpick.runtime.clock import Clock
 from damsonpick.time_units import NS_PER_MS
@@ -123,7 +124,7 @@
         finally:
             self.clients -= 1
             self.idle_streams.discard(stream)
-            if not stream.lost and not stream.transport.is_closing():
+            if stream.lost or not stream.transport.is_closing():
                 stream.abort()
 
     async def _serve_requests(self, client: Client) -> bool:
@@ -137,6 +138,8 @@
                 if not client.request_complete and not client.response_started:
                     await client.stream.linger()
                 return client.request_complete or not client.response_started
+            if client.pending():
+                await asyncio.sleep(0)  # other clients take their turns between the requests that one sent at once
         return True
 
     async def _next_head(self, client: Client) -> http.Head | None:
@@ -284,7 +287,11 @@
         self.router.load_balancer.request_started(server)
         succeeded = reusable = False
         connection: UpstreamConnection | None = None
+        is_upload = False
         try:
+            if not client.body_received():
+                await self.connector.uploads.acquire(server, until - client.stream.time())
+                is_upload = True
             connection = self.connector.take_idle(request, server, started)
             if connection is None:
                 connection = await self.connector.connect(request, server, zone, until)
@@ -304,6 +311,8 @@
             succeeded = True  # the client disconnected, so the server is not at fault
             raise
         finally:
+            if is_upload:
+                self.connector.uploads.release(server)
             now = self.clock.now()
             self.router.load_balancer.request_ended(now, server, succeeded, started)
             self._counts_of(request).count_attempt(zone, server, succeeded, (now - started) / 1e6)
@@ -318,4 +327,4 @@
 def _failure_status(reason: str) -> int:
     if reason in (TIMED_OUT, DEADLINE_PASSED):
         return 504
-    return 503 if reason == NO_SERVER else 502
+    return 503 if reason in (NO_SERVER, TOO_MANY_UPLOADS) else 502
--- a/damsonpick/proxy/server_connector.py
+++ b/damsonpick/proxy/server_connector.py
@@ -12,6 +12,7 @@
 from damsonpick.proxy.retry_policy import NON_IDEMPOTENT, Execution
 from damsonpick.proxy.router import RoutedRequest, Router
 from damsonpick.proxy.settings import Limits
+from damsonpick.proxy.upload_limit import UploadLimit
 from damsonpick.proxy.upstream_request import AttemptError, UpstreamConnection
 from damsonpick.runtime.clock import Clock
 from damsonpick.runtime.timeouts import complete_within
@@ -34,6 +35,7 @@
         self.limits = limits
         self.router = router
         self.clock = clock
+        self.uploads = UploadLimit(limits.per_server, limits.waiting)
         self.connect_timeout_s = clock.seconds(limits.connect_time)
         self.pool: ConnectionPool[UpstreamConnection, asyncio.Event] = ConnectionPool(
             limits.per_server, limits.waiting, limits.churn, limits.pool_time
@@ -114,7 +116,7 @@
 
         try:
             stream = await complete_within(self.connect_timeout_s, open_stream, _abort)
-            return UpstreamConnection(stream, self.limits.head)
+            return UpstreamConnection(stream, self.limits.head, self.limits.fields)
         except (OSError, TimeoutError):
             self.release(server, None, False, self.clock.now())
             raise AttemptError(Execution.NOT_SENT, "cannot connect") from None
--- a/damsonpick/proxy/settings.py
+++ b/damsonpick/proxy/settings.py
@@ -67,11 +67,12 @@
 
     Attributes:
         head: Largest accepted head of a message, in bytes.
+        fields: Most header fields of a message.
         body: Largest accepted body of a request, in bytes.
         replay: Largest request body that is stored for a retry, in bytes. It also limits the stored body of an error
             response.
         connections: Most connections from clients.
-        per_server: Most connections to one server.
+        per_server: Most connections to one server. Requests whose body is still on its way use at most half of them.
         waiting: Most requests that wait for a connection to one server.
         churn: Most new connections to one server per second.
         head_time: Timeout for receiving the rest of a partly received request head.
@@ -86,6 +87,7 @@
     """
 
     head: int = Field(16_384, ge=512)
+    fields: int = Field(200, ge=16)
     body: int = Field(67_108_864, ge=0)
     replay: int = Field(65_536, ge=0)
     connections: int = Field(2_000, ge=1)
--- a/damsonpick/proxy/stream.py
+++ b/damsonpick/proxy/stream.py
@@ -11,9 +11,12 @@
 import contextlib
 import select
 from collections.abc import Callable
+from typing import ClassVar
 
 TIMER_TOLERANCE_S = 0.001  # a timer that fires early by at most this time counts as expired
-READ_AHEAD_BYTES = 262_144  # reading is paused while more received bytes than this are unread
+READ_BYTES = 65_536  # most bytes that are received at once
+READ_AHEAD_BYTES = 65_536  # reading is paused while a stream has more unread bytes than this
+MAX_UNREAD_BYTES = 64 << 20  # while all streams have more unread bytes than this, each is paused that has any
 FLUSH_S = 2.0  # time to send the last bytes of a closed stream before it is aborted
 # After a rejection, the client's data is read and dropped within these limits, so that no reset overtakes the response.
 LINGER_S, LINGER_BYTES = 1.0, 4_194_304
@@ -99,10 +102,17 @@
             self.timer = None
 
 
-class Stream(asyncio.Protocol):
-    """One TCP connection, to a client or a server."""
+class Stream(asyncio.BufferedProtocol):
+    """One TCP connection, to a client or a server.
+
+    Attributes:
+        unread_bytes: Received bytes of all streams of the process that `receive` has not returned yet.
+    """
 
     transport: asyncio.Transport
+    unread_bytes: ClassVar[int] = 0
+    # All streams receive into one buffer: the event loop calls `buffer_updated` before it reads from another socket.
+    _buffer: ClassVar[bytearray] = bytearray(READ_BYTES)
 
     def __init__(self, on_connected: Callable[[Stream], object] | None = None) -> None:
         """Create a stream whose connection is not open yet.
@@ -128,13 +138,22 @@
         self.time, self.reading, self.writing = loop.time, StreamWait(loop), StreamWait(loop)
         self._poll = select.poll()
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._hang_up_poll = select.poll()
+        self._hang_up_poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         if self.on_connected is not None:
             self.on_connected(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer into which the event loop receives bytes."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Handle received bytes. Reading is paused while too many bytes are unread."""
+        data = bytes(memoryview(self._buffer)[:nbytes])
         self.data = self.data + data if self.data else data
-        if len(self.data) > READ_AHEAD_BYTES and not self.reading_paused:
+        Stream.unread_bytes += nbytes
+        has_many = len(self.data) > READ_AHEAD_BYTES or Stream.unread_bytes > MAX_UNREAD_BYTES
+        if has_many and not self.reading_paused:
             self.reading_paused = True
             self.transport.pause_reading()
         self.reading.wake()
@@ -185,7 +204,7 @@
             if self.lost:
                 raise ConnectionLostError
             await self.reading.wait(until)
-        data, self.data = self.data, b""
+        data = self._take_unread()
         if self.reading_paused:
             self.reading_paused = False
             if not self.lost:
@@ -207,6 +226,15 @@
             if self.lost:
                 raise ConnectionLostError
 
+    def _take_unread(self) -> bytes:
+        data, self.data = self.data, b""
+        Stream.unread_bytes -= len(data)
+        return data
+
+    def is_hung_up(self) -> bool:
+        """Return whether the peer has closed the connection or its sending side, even if its data is not read yet."""
+        return self.eof or self.lost or self.transport.is_closing() or bool(self._hang_up_poll.poll(0))
+
     def is_idle(self) -> bool:
         """Return whether the connection is open and has received nothing since its last use.
 
@@ -215,7 +243,8 @@
         return not (self.data or self.eof or self.lost or self.transport.is_closing() or self._poll.poll(0))
 
     def close(self) -> None:
-        """Close the connection when all written data is sent, or abort it after `FLUSH_S`."""
+        """Close the connection when all written data is sent, or abort it after `FLUSH_S`. Drop unread data."""
+        self._take_unread()
         if self.lost:
             return
         self.transport.close()
@@ -223,7 +252,8 @@
             self.reading.loop.call_later(FLUSH_S, self.transport.abort)
 
     def abort(self) -> None:
-        """Close the connection at once and drop unsent data."""
+        """Close the connection at once and drop unread and unsent data."""
+        self._take_unread()
         self.transport.abort()
 
     async def linger(self) -> None:
--- a/damsonpick/proxy/upstream_request.py
+++ b/damsonpick/proxy/upstream_request.py
@@ -50,15 +50,16 @@
 
     __slots__ = ("reader", "stream")
 
-    def __init__(self, stream: Stream, max_head_bytes: int) -> None:
+    def __init__(self, stream: Stream, max_head_bytes: int, max_fields: int) -> None:
         """Wrap an open connection.
 
         Args:
             stream: The open connection.
             max_head_bytes: Largest accepted size of a response head.
+            max_fields: Largest accepted number of header fields of a response.
         """
         self.stream = stream
-        self.reader = http.Reader(False, max_head_bytes)
+        self.reader = http.Reader(False, max_head_bytes, max_fields)
 
     def is_idle(self) -> bool:
         """Return whether the connection is open and the server has sent no unrequested data."""
