Drop requests of clients that have left before they are written to a server

Cause: the proxy asked whether the client was there only while it waited for the answer, and a paused connection does not report its end to the event loop.

--- a/damsonpick/proxy/request_handler.py
+++ b/damsonpick/proxy/request_handler.py
@@ -133,6 +133,8 @@
             head = await self._next_head(client)
             if head is None:
                 return True
+            if client.has_left():
+                raise ClientDisconnectedError
             keep = await self._serve_request(client, head)
             if not keep:
                 if not client.request_complete and not client.response_started:
@@ -295,6 +297,9 @@
             connection = self.connector.take_idle(request, server, started)
             if connection is None:
                 connection = await self.connector.connect(request, server, zone, until)
+            if client.has_left():
+                reusable = True
+                raise ClientDisconnectedError
             if self.recording:
                 self._record_attempt(head, request, server)
             left_ms = max(0, request.deadline - started) // NS_PER_MS
--- a/tests/test_control_socket.py
+++ b/tests/test_control_socket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import socket
@@ -108,3 +109,49 @@
 def test_a_port_file_that_cannot_be_written_is_named(tmp_path):
     done = run_pilot_in(tmp_path, port_file="nowhere/port")
     assert done.returncode == 2 and "the port file cannot be written" in done.stderr
+
+
+def test_requests_of_a_client_that_has_hung_up_are_not_answered(tmp_path):
+    """Regression (operators, picture c): a request that was still unread when its client left was carried out."""
+    answered = []
+
+    async def run() -> None:
+        path = tmp_path / "control.sock"
+        listener = await control_socket.listen(path)
+        async with anyio.create_task_group() as group:
+            group.start_soon(control_socket.serve, listener, path, lambda request: answered.append(request) or {}, None)
+            await anyio.wait_all_tasks_blocked()
+            with socket.socket(socket.AF_UNIX) as leaving:
+                leaving.connect(str(path))
+                leaving.sendall(b'{"ask":"forget"}\n' * 100)
+            await anyio.sleep(0.1)
+            assert await control_socket.ask(path, {"ask": "status"}) == {}
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert answered == [{"ask": "status"}]
+
+
+def test_clients_that_send_no_complete_request_make_room_for_others(tmp_path):
+    """Regression (operators, picture a): half requests of any number of clients stayed in memory without end."""
+
+    async def run() -> None:
+        path = tmp_path / "control.sock"
+        listener = await control_socket.listen(path)
+        async with anyio.create_task_group() as group:
+            group.start_soon(control_socket.serve, listener, path, lambda request: {}, None)
+            await anyio.wait_all_tasks_blocked()
+            clients = [await anyio.connect_unix(path) for _ in range(control_socket.MAX_CONNECTIONS + 5)]
+            for client in clients:
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    await client.send(b"x" * 60_000)
+                await anyio.wait_all_tasks_blocked()
+            assert await control_socket.ask(path, {"ask": "status"}) == {}
+            for client in clients[:5]:
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(5.0):
+                    await client.receive()
+            for client in clients:
+                await anyio.aclose_forcefully(client)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
--- a/tests/test_proxy_bad_clients.py
+++ b/tests/test_proxy_bad_clients.py
@@ -30,6 +30,36 @@
     return [head.split(b" ")[1] for head in server.heads]
 
 
+async def test_a_request_of_a_client_that_left_while_it_waited_is_not_sent():
+    """Regression (operators, picture c): a request was sent on after its client had left."""
+    async with proxy_harness(per_server=1) as harness:
+        server = await Server(answer_slowly).start(harness.group)
+        harness.set_table({server.name: 1000})
+        first, leaving = await harness.connect(), await harness.connect()
+        await first.send(REQUEST % 1)
+        await anyio.sleep(0.1)
+        await leaving.send(REQUEST % 2)
+        await anyio.sleep(0.1)
+        await anyio.aclose_forcefully(leaving)
+        assert (await read(first))[0] == 200
+        assert (await harness.request("write"))[0] == 200  # the connection to the server is free again
+        assert ids(server) == [b"/1", b"/"]
+        await anyio.aclose_forcefully(first)
+
+
+async def test_requests_that_a_client_left_unread_are_dropped():
+    """Regression (operators, picture c): a client left with much unread, which hid from the proxy that it had left."""
+    async with proxy_harness() as harness:
+        server = await Server(answer_slowly).start(harness.group)
+        harness.set_table({server.name: 1000})
+        leaving = await harness.connect()
+        with anyio.move_on_after(0.1):
+            await leaving.send(b"".join(REQUEST % number for number in range(10_000)))
+        await anyio.aclose_forcefully(leaving)
+        await anyio.sleep(0.6)
+        assert ids(server) == [b"/0"] and not harness.proxy.requests.clients
+
+
 async def test_unfinished_bodies_leave_connections_to_a_server_for_others():
     """Regression (operators, picture a): slow clients held all connections to a server, and others were refused."""
     async with proxy_harness(per_server=4, waiting=4) as harness:
