Report an assigned slice to the planner with its first entry, not before

Cause: the line that assigns a slice and the line of its table may come in two reads. In between the planner took the table for empty and cleared it; the entry that followed counted as published, so nothing was ordered.

Evidence: the relay's record has the DEL after the assignment, the entry in the news before it, and no later SET.

Why it works: the slice is reported with its first entry, or when any other line, at the latest the next heartbeat, shows that its table is empty.

--- a/damsonpick/protocols/platform/registry.py
+++ b/damsonpick/protocols/platform/registry.py
@@ -49,6 +49,9 @@
         self.withdrawn: dict[str, None] = {}
         self.ownership = OwnershipTracker()
         self._uncertain = UncertainEntries()
+        # The slice that the watch has assigned last, until its first entry or another event has been read. Until then
+        # its table looks empty, whatever is stored, and the planner is not told that the slice is owned.
+        self._incomplete_slice: int | None = None
 
     # -- events for the planner
 
@@ -56,6 +59,8 @@
         """Return the events that pass the known state, with pending orders applied, to a new planner."""
         events: list[api.Event] = []
         for slice_number, entries in self.tables.items():
+            if slice_number == self._incomplete_slice:
+                continue
             events += _table_events(slice_number, self.pending.overlay_entries(slice_number, entries))
         withdrawn = self.pending.overlay_withdrawn(self.withdrawn)
         levels = self.pending.overlay_levels(self.levels)
@@ -79,6 +84,7 @@
         Returns:
             Events for the differences to the previously known state.
         """
+        self._forget_incomplete_slice()
         lost_slices = [slice_number for slice_number in self.tables if slice_number not in snapshot.tables]
         events: list[api.Event] = []
         for slice_number in lost_slices:
@@ -90,7 +96,18 @@
         return events + self._reconcile_proxies(snapshot.proxies, gap)
 
     def apply(self, event: registry_events.RegistryEvent) -> list[api.Event]:
-        """Apply an event that the watch sent after its snapshot, and return the events for the planner."""
+        """Apply an event that the watch sent after its snapshot, and return the events for the planner.
+
+        The entries of an assigned slice directly follow the event that assigns it, but may be read later. The planner
+        is told of the slice with its first entry, or when another event shows that its table is empty.
+        """
+        incomplete = self._incomplete_slice
+        if isinstance(event, registry_events.EntryChanged) and event.slice == incomplete:
+            self._change_entry(event)
+            return self._report_incomplete_slice()
+        return self._report_incomplete_slice() + self._apply(event)
+
+    def _apply(self, event: registry_events.RegistryEvent) -> list[api.Event]:
         if isinstance(event, registry_events.ProxyAttached):
             return self._attach_proxy(event.proxy, Proxy(event.zone, event.weight, event.fresh))
         if isinstance(event, registry_events.ProxyDetached):
@@ -175,10 +192,22 @@
         self.ownership.record_change(slice_number)
         if owned:
             self.tables[slice_number] = {}
-        else:
-            self.tables.pop(slice_number, None)
-            self._uncertain.add_unconfirmed(slice_number, self._uncertain.recent_endpoints(slice_number))
-        return [api.SliceOwnershipChanged(slice_number, owned)]
+            self._incomplete_slice = slice_number
+            return []
+        self.tables.pop(slice_number, None)
+        self._uncertain.add_unconfirmed(slice_number, self._uncertain.recent_endpoints(slice_number))
+        return [api.SliceOwnershipChanged(slice_number, False)]
+
+    def _report_incomplete_slice(self) -> list[api.Event]:
+        """Return the events for the slice that was assigned last, if the planner was not told of it yet."""
+        slice_number, self._incomplete_slice = self._incomplete_slice, None
+        return [] if slice_number is None else _table_events(slice_number, self.tables[slice_number])
+
+    def _forget_incomplete_slice(self) -> None:
+        """Forget the slice that was assigned last, as a snapshot contains its table."""
+        if self._incomplete_slice is not None:
+            del self.tables[self._incomplete_slice]
+            self._incomplete_slice = None
 
     def _change_entry(self, event: registry_events.EntryChanged) -> list[api.Event]:
         entries = self.tables.get(event.slice)
@@ -279,7 +308,9 @@
         without a response may have stored the entry nevertheless. Therefore a recent entry (see `UncertainEntries`) is
         ordered again after the next heartbeat, with the weight that is desired then.
         """
-        if isinstance(order, api.SetEntry) and order.table in self.tables:
+        if not isinstance(order, api.SetEntry) or order.table == self._incomplete_slice:
+            return []
+        if order.table in self.tables:
             if order.endpoint in self._uncertain.recent_endpoints(order.table):
                 self._uncertain.add_unconfirmed(order.table, [order.endpoint])
             return _table_events(order.table, self.pending.overlay_entries(order.table, self.tables[order.table]))
--- a/tests/test_platform_registry.py
+++ b/tests/test_platform_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -233,3 +234,45 @@
     events = registry.initial_events()
     assert api.FleetRestored((1.0, 0.5), ("p",), 0.0, 0.0) in events and api.StoredEntry(1, "q", 1.0) in events
     assert events[-1] == api.ProxyJoined(0, "a", 0.0, False)
+
+
+OWNED, ENTRY = registry_events.OwnershipChanged(1, True), registry_events.EntryChanged(1, "p", 1.0)
+TOLD = [api.SliceOwnershipChanged(1, True), api.StoredEntry(1, "p", 1.0)]
+
+
+def test_a_slice_whose_entry_is_read_later_is_not_reported_as_empty():
+    """Regression (review, case 8): the table of a slice was emptied, as its entry came with the next read."""
+    registry = Registry(PendingOrders(("x",)), 8, 8)
+    assert registry.apply(OWNED) == []
+    assert registry.initial_events() == [], "a planner that replaces a failed one waits as well"
+    assert registry.apply(ENTRY) == TOLD
+    assert registry.apply(registry_events.EntryChanged(1, "q", 2.0)) == [api.StoredEntry(1, "q", 2.0)]
+    assert registry.initial_events() == [*TOLD, api.StoredEntry(1, "q", 2.0)]
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        registry_events.Heartbeat(),
+        registry_events.OwnershipChanged(2, True),
+        registry_events.OwnershipChanged(1, False),
+        registry_events.EntryChanged(3, "p", 1.0),
+        registry_events.ProxyAttached(0, "a", True),
+        registry_events.SyncCompleted(0, 1),
+    ],
+)
+def test_the_next_event_shows_that_the_table_of_a_slice_is_empty(event):
+    registry = Registry(PendingOrders(("x",)), 8, 8)
+    assert registry.apply(OWNED) == []
+    assert registry.apply(event)[:1] == [api.SliceOwnershipChanged(1, True)]
+
+
+@pytest.mark.parametrize("gap", [True, False])
+def test_a_snapshot_completes_a_slice_whose_entry_has_not_been_read(gap):
+    registry = Registry(PendingOrders(("x",)), 8, 8)
+    registry.apply(OWNED)
+    assert registry.reconcile(snapshot(t1="p"), gap) == TOLD
+    assert registry.apply(registry_events.Heartbeat()) == []
+    registry.apply(registry_events.OwnershipChanged(2, True))
+    assert registry.reconcile(snapshot(t1="p"), gap) == [], "the slice was taken away before it was reported"
+    assert list(registry.tables) == [1]
