Process very many lines of a watch in turns, and do not copy an unfinished line

Cause: all lines of one read, up to 20,000, were processed in one turn; and each part of an unfinished line copied all of it.

Why it works: other tasks run after each 256 lines; an unfinished line stays where it is.

--- a/damsonpick/protocols/platform/http_response.py
+++ b/damsonpick/protocols/platform/http_response.py
@@ -81,6 +81,9 @@
 
     def take_lines(self) -> list[bytes]:
         """Remove the complete lines from the received body and return them without surrounding whitespace."""
-        *complete, rest = self.body.split(b"\n")
-        self.body = bytearray(rest)
-        return [bytes(line).strip() for line in complete]
+        end = self.body.rfind(b"\n")
+        if end < 0:
+            return []  # without a copy: a long line arrives in many parts
+        complete = bytes(self.body[:end])
+        del self.body[: end + 1]
+        return [line.strip() for line in complete.split(b"\n")]
--- a/damsonpick/protocols/platform/watch_client.py
+++ b/damsonpick/protocols/platform/watch_client.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT_S = 0.5  # for opening the connection, and again for sending the request
 FIRST_RETRY_DELAY_S = 0.04
 MAX_RETRY_DELAY_S = 1.0
+MAX_LINES_PER_TURN = 256  # lines of one read that are processed before other tasks run
 NO_STATUS = 0  # `ResponseReader.status` before the headers are complete
 STATUS_OK = 200
 MAX_LOGGED_BODY_BYTES = 80
@@ -188,7 +189,7 @@
                     return
                 now_s = anyio.current_time()
                 watched.last_received_s = now_s
-                if reader.process(lines):
+                if await self._process_in_turns(watched, reader, lines):
                     # A watch that ends soon after it has sent the state must not be reopened without a pause, so the
                     # backoff is reset only after some time.
                     if now_s - opened_s > MAX_RETRY_DELAY_S:
@@ -197,6 +198,17 @@
                 elif now_s - opened_s > self._silence_timeout_s:
                     raise TransportError("watch", f"current state not received within {self._silence_timeout_s:g} s")
 
+    async def _process_in_turns(self, watched: WatchedAddress, reader: WatchReader, lines: list[bytes]) -> bool:
+        """Process lines, and let other tasks run in between. Return whether the watch has sent the current state."""
+        is_current = False
+        for start in range(0, len(lines), MAX_LINES_PER_TURN):
+            if start:
+                await anyio.lowlevel.checkpoint()
+            if watched.superseded:
+                return False
+            is_current = reader.process(lines[start : start + MAX_LINES_PER_TURN])
+        return is_current
+
     def _activate(self, watched: WatchedAddress) -> None:
         former = self._active
         self._active = watched
