Ignore further signals from the moment at which a program ends

Cause: anyio's receiver restores the default handlers when it closes; other threads do not block the signals.

Why it works: the receiver replaces its handlers by SIG_IGN in one step. Pilot, daemon and proxy use it.

--- a/damsonpick/cli/pilot.py
+++ b/damsonpick/cli/pilot.py
@@ -25,7 +25,7 @@
     from damsonpick.controller.control_socket import Reply
     from damsonpick.controller.daemon import Pilot
     from damsonpick.runtime.port_files import PortFileError
-    from damsonpick.settings import PilotSettings
+from damsonpick.settings import PilotSettings
 
 
 @click.command()
@@ -77,6 +77,7 @@
     from damsonpick.protocols.sasp.errors import ListenError
     from damsonpick.runtime.logs import configure
     from damsonpick.runtime.port_files import PortFileError
+    from damsonpick.runtime.signal_receiver import received_signals
     from damsonpick.state.learned.errors import LockError
     from damsonpick.state.store.errors import StoreError
 
@@ -84,7 +85,7 @@
 
     async def serve_until_signal() -> None:
         pilot = Pilot(settings, log, **parts)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with received_signals((signal.SIGTERM, signal.SIGINT)) as signals:
             async with pilot.running():
                 problem = _write_port_files(pilot, port_file)
                 if problem is None:
--- a/damsonpick/protocols/platform/pilot.py
+++ b/damsonpick/protocols/platform/pilot.py
@@ -37,6 +37,7 @@
 from damsonpick.protocols.platform.stored_state import tables_digest
 from damsonpick.protocols.platform.watch_client import WatchClient
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.signal_receiver import received_signals
 
 SIGNALS = signal.SIGTERM, signal.SIGHUP
 PLANNER_SEED_BITS = 48
@@ -81,7 +82,7 @@
         Raises:
             ConfigError: The listening socket cannot be opened.
         """
-        with anyio.open_signal_receiver(*SIGNALS) as signals:
+        with received_signals(SIGNALS) as signals:
             # The signals were blocked until now, so that none is lost during the start.
             signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
             self.driver.start()
@@ -91,8 +92,6 @@
                 self._log_start()
                 await self._handle_signals(signals, group)
                 group.cancel_scope.cancel()
-        for number in SIGNALS:  # the receiver is closed; by default, a further SIGTERM or SIGHUP would end the process
-            signal.signal(number, signal.SIG_IGN)
         self._log.info(
             "pilot_ended",
             name=self._config.name,
@@ -175,7 +174,7 @@
         group.start_soon(self.readiness.enforce_timeout)
 
     async def _handle_signals(self, signals: AsyncIterator[signal.Signals], group: TaskGroup) -> None:
-        """Reload the configuration on SIGHUP. On SIGTERM, block both signals and return."""
+        """Reload the configuration on SIGHUP. Return on SIGTERM."""
 
         def move_registry(address: Address) -> None:
             self._order_client.move_to(address)
@@ -187,7 +186,6 @@
         reloader = ConfigReloader(self._config, move_registry, move_discovery, self._log)
         async for number in signals:
             if number == signal.SIGTERM:
-                signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
                 return
             try:
                 reloader.reload()
--- a/damsonpick/proxy/program.py
+++ b/damsonpick/proxy/program.py
@@ -24,6 +24,7 @@
 from damsonpick.runtime import port_files
 from damsonpick.runtime.backoff import Backoff
 from damsonpick.runtime.clock import Clock
+from damsonpick.runtime.signal_receiver import received_signals
 from damsonpick.runtime.supervision import keep_running
 
 LISTEN_BACKLOG = 1024
@@ -185,7 +186,7 @@
     """
     port_file_error: port_files.PortFileError | None = None
     proxy = Proxy(settings, log)
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with received_signals((signal.SIGTERM, signal.SIGINT)) as signals:
         async with proxy.running():
             try:
                 port_files.write(port_file, proxy.port)
