--- a/damsonpick/protocols/xds/server.py
+++ b/damsonpick/protocols/xds/server.py
@@ -218,13 +218,16 @@
         The first message identifies the node. The server answers it with a LoadStatsResponse, which asks the client to
         report on all clusters and their endpoints once per report period.
         """
+        rejection: StreamError | None = None
         try:
             await self._receive_load_stats(requests, context)
         except DecodeError:
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "a report is no LoadStatsRequest")
+            rejection = RequestFormatError("LoadStatsRequest")
         except StreamError as error:
-            self.log.warning("stream_rejected", gateway=context.peer(), reason=str(error))
-            await context.abort(grpc.StatusCode[error.status], str(error))
+            rejection = error
+        if rejection is not None:
+            self.log.warning("stream_rejected", gateway=context.peer(), reason=str(rejection))
+            await context.abort(grpc.StatusCode[rejection.status], str(rejection))
 
     async def _receive_load_stats(self, requests: AsyncIterator[bytes], context: grpc.aio.ServicerContext) -> None:
         node, zone, number = "", "", -1
