Do not blame servers for slow clients, and bound what is read from refused ones

Cause: an attempt whose client sent no body in time counted as a failure of the server; the time that a client took for its body was reported as the server's latency, so that the controller shed 90% of the load (its log: admission_changed to 0.1); and up to 4 MB of each refused client were read and dropped, for all of them at a time.

Why it works: attempts that end by a late body are counted neither as failure nor as success, uploads report no latency, and 32 refused streams are read at a time in the process.

Three cases of the new tests failed before or were not there (two of two of the blame, run on the former code).

--- a/damsonpick/protocols/xds/load_stats.py
+++ b/damsonpick/protocols/xds/load_stats.py
@@ -161,7 +161,8 @@
 
     successes: int = 0
     failures: int = 0
-    latency_ms: float = 0.0  # sum over the successful attempts
+    timed_successes: int = 0  # successful attempts whose latency is known
+    latency_ms: float = 0.0  # sum over these attempts
 
 
 @dataclass(slots=True)
@@ -186,15 +187,17 @@
     requests: dict[str, _RequestCounts] = field(default_factory=dict)
     dropped: dict[str, int] = field(default_factory=dict)
 
-    def count_attempt(self, zone: str, endpoint: str, succeeded: bool, latency_ms: float) -> None:
-        """Count an attempt at an endpoint. The latency counts only if the attempt succeeded."""
+    def count_attempt(self, zone: str, endpoint: str, succeeded: bool, latency_ms: float | None) -> None:
+        """Count an attempt at an endpoint. The latency counts only if it is known and the attempt succeeded."""
         key = (zone, endpoint)
         counts = self.attempts.get(key)
         if counts is None:
             counts = self.attempts[key] = _AttemptCounts()
         if succeeded:
             counts.successes += 1
-            counts.latency_ms += latency_ms
+            if latency_ms is not None:
+                counts.timed_successes += 1
+                counts.latency_ms += latency_ms
         else:
             counts.failures += 1
 
@@ -244,7 +247,7 @@
     stats.address.socket_address.port_value = int(port)
     stats.load_metric_stats.add(
         metric_name=LATENCY_METRIC,
-        num_requests_finished_with_metric=counts.successes,
+        num_requests_finished_with_metric=counts.timed_successes,
         total_metric_value=counts.latency_ms,
     )
 
--- a/damsonpick/proxy/request_handler.py
+++ b/damsonpick/proxy/request_handler.py
@@ -282,18 +282,39 @@
 
     async def _attempt(
         self, client: Client, head: http.Head, request: RoutedRequest, server: str, started: int
+    ) -> bool:
+        """Make one attempt; an attempt with an unfinished body waits for its turn. Return as `_counted_attempt` does.
+
+        Raises:
+            AttemptError: The attempt failed.
+            ClientDisconnectedError: The client disconnected.
+            HttpProtocolError: The client's body is malformed, too large or stalled.
+        """
+        until = client.stream.time() + self.clock.seconds(self.router.attempt_timeout(request, started))
+        if client.body_received():
+            return await self._counted_attempt(client, head, request, server, started, until)
+        try:
+            await self.connector.uploads.acquire(server, until - client.stream.time())
+        except TimeoutError:
+            raise AttemptError(Execution.NOT_SENT, self._timeout_reason(request)) from None
+        try:
+            return await self._counted_attempt(client, head, request, server, started, until)
+        finally:
+            self.connector.uploads.release(server)
+
+    def _timeout_reason(self, request: RoutedRequest) -> str:
+        return DEADLINE_PASSED if self.clock.now() >= request.deadline else TIMED_OUT
+
+    async def _counted_attempt(
+        self, client: Client, head: http.Head, request: RoutedRequest, server: str, started: int, until: float
     ) -> bool:
         """Make one attempt and count its end in every case. Return whether the client's connection stays open."""
         zone = self.router.zone_of(request.cluster, server)
-        until = client.stream.time() + self.clock.seconds(self.router.attempt_timeout(request, started))
+        is_upload = not client.body_received()
         self.router.load_balancer.request_started(server)
-        succeeded = reusable = False
+        succeeded = reusable = body_late = False
         connection: UpstreamConnection | None = None
-        is_upload = False
         try:
-            if not client.body_received():
-                await self.connector.uploads.acquire(server, until - client.stream.time())
-                is_upload = True
             connection = self.connector.take_idle(request, server, started)
             if connection is None:
                 connection = await self.connector.connect(request, server, zone, until)
@@ -309,18 +330,23 @@
             reusable = await upstream.forward_response(response)
             return upstream.keep_client_open
         except TimeoutError:
-            reason = DEADLINE_PASSED if self.clock.now() >= request.deadline else TIMED_OUT
+            body_late = succeeded = not client.body_received()  # the client is at fault, not the server
             execution = Execution.NOT_SENT if connection is None else Execution.UNKNOWN
-            raise AttemptError(execution, reason) from None
+            raise AttemptError(execution, self._timeout_reason(request)) from None
+        except http.HttpProtocolError:
+            body_late = succeeded = True
+            raise
         except ClientDisconnectedError:
             succeeded = True  # the client disconnected, so the server is not at fault
+            body_late = not client.body_received()
             raise
         finally:
-            if is_upload:
-                self.connector.uploads.release(server)
             now = self.clock.now()
             self.router.load_balancer.request_ended(now, server, succeeded, started)
-            self._counts_of(request).count_attempt(zone, server, succeeded, (now - started) / 1e6)
+            if not body_late:
+                # With an unfinished body, the time is the client's as much as the server's.
+                latency_ms = None if is_upload else (now - started) / 1e6
+                self._counts_of(request).count_attempt(zone, server, succeeded, latency_ms)
             if connection is not None:
                 self.connector.release(server, connection, reusable, now)
 
--- a/damsonpick/proxy/stream.py
+++ b/damsonpick/proxy/stream.py
@@ -20,6 +20,7 @@
 FLUSH_S = 2.0  # time to send the last bytes of a closed stream before it is aborted
 # After a rejection, the client's data is read and dropped within these limits, so that no reset overtakes the response.
 LINGER_S, LINGER_BYTES = 1.0, 4_194_304
+MAX_LINGERING = 32  # streams of the process that do so at a time; others are closed at once
 
 
 class ConnectionLostError(Exception):
@@ -107,10 +108,12 @@
 
     Attributes:
         unread_bytes: Received bytes of all streams of the process that `receive` has not returned yet.
+        lingering: Number of streams of the process whose data is read and dropped.
     """
 
     transport: asyncio.Transport
     unread_bytes: ClassVar[int] = 0
+    lingering: ClassVar[int] = 0
     # All streams receive into one buffer: the event loop calls `buffer_updated` before it reads from another socket.
     _buffer: ClassVar[bytearray] = bytearray(READ_BYTES)
 
@@ -259,8 +262,17 @@
     async def linger(self) -> None:
         """End the sending side, then read and drop the peer's data until the peer closes the connection.
 
-        Reading stops earlier after `LINGER_S` or `LINGER_BYTES`.
+        Reading stops earlier after `LINGER_S` or `LINGER_BYTES`. Nothing is read while `MAX_LINGERING` others do so.
         """
+        if Stream.lingering >= MAX_LINGERING:
+            return
+        Stream.lingering += 1
+        try:
+            await self._drop_received()
+        finally:
+            Stream.lingering -= 1
+
+    async def _drop_received(self) -> None:
         remaining = LINGER_BYTES
         until = self.time() + LINGER_S
         with contextlib.suppress(ConnectionLostError, TimeoutError, OSError, RuntimeError):
--- a/tests/test_proxy_bad_clients.py
+++ b/tests/test_proxy_bad_clients.py
@@ -170,3 +170,41 @@
     assert order == [("c", AttemptError), ("a", TimeoutError), ("b", None)]
     uploads.release("s")
     await uploads.acquire("s", 0.0)
+
+
+@pytest.mark.parametrize("stall_time_s", [1, 30])
+async def test_a_server_is_not_blamed_for_clients_that_send_their_bodies_too_late(stall_time_s):
+    """Regression (operators, picture a): a server was avoided and reported as failing because of slow clients."""
+    async with proxy_harness(stall_time=stall_time_s * 1_000_000_000) as harness:
+        server = await Server().start(harness.group)
+        harness.set_table({server.name: 1000})
+        slow = [await harness.connect() for _ in range(12)]
+        for stream in slow:
+            await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\nx-damson-class: page\r\ncontent-length: 9\r\n\r\nhalf")
+        for stream in slow:
+            assert (await read(stream))[0] in (408, 504)
+        assert not any(counts.attempts for counts in harness.proxy.requests.take_counts().values())
+        assert (await harness.request("page", timeout_s=1.0))[0] == 200
+        for stream in slow:
+            await anyio.aclose_forcefully(stream)
+
+
+async def test_the_time_that_a_client_takes_for_its_body_is_not_reported_as_latency():
+    """Regression (operators, picture a): slow uploads looked like an overload, and the controller shed all load."""
+    async with proxy_harness() as harness:
+        server = await Server().start(harness.group)
+        harness.set_table({server.name: 1000})
+        slow, leaving = await harness.connect(), await harness.connect()
+        for stream in (slow, leaving):
+            await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\nx-damson-class: page\r\ncontent-length: 9\r\n\r\nhalf")
+        await anyio.sleep(0.3)
+        await slow.send(b"other")
+        assert (await read(slow))[0] == 200 == (await harness.request("page"))[0]
+        await anyio.aclose_forcefully(leaving)
+        with anyio.fail_after(5.0):
+            while harness.proxy.requests.clients > 1:
+                await anyio.sleep(0.02)
+        counts = [c for by_slice in harness.proxy.requests.take_counts().values() for c in by_slice.attempts.values()]
+        assert sum(c.successes for c in counts) == 2 and sum(c.timed_successes for c in counts) == 1
+        assert sum(c.failures for c in counts) == 0 and sum(c.latency_ms for c in counts) < 250.0
+        await anyio.aclose_forcefully(slow)
