--- a/tests/test_proxy_sockets.py
+++ b/tests/test_proxy_sockets.py
@@ -136,8 +136,9 @@
 
 
 @contextlib.asynccontextmanager
-async def proxy_harness(**limits):
+async def proxy_harness(clock_rate=1.0, **limits):
     settings = ProxySettings(
+        clock_rate=clock_rate,
         proxy=ProxySection(name="p", zone="a"),
         limits=Limits(**{"connect_time": SECOND // 2, "stall_time": SECOND, "hold": SECOND // 5, **limits}),
         classes={
@@ -400,10 +401,21 @@
         assert (await read(stream))[0] == 200 and server.bodies[2] == b"ab"
         status, fields, body = await harness.request(method=b"HEAD")
         assert status == 200 and fields[b"content-length"] == b"2" and body == b""
-        assert (await harness.request(body=b"x" * 100, extra_headers=b"x-request-timeout-ms: 50\r\n"))[0] == 200
         await stream.aclose()
 
 
+async def test_a_request_with_a_body_and_a_short_deadline_is_answered_and_passes_the_rest_of_it_on():
+    # On a clock at a hundredth of the true rate, no machine is so busy that it decides the result.
+    async with proxy_harness(clock_rate=0.01, replay=1000) as harness:
+        server = await Server(OK, "hang").start(harness.group)
+        harness.set_table({server.name: 1000})
+        deadline = b"x-request-timeout-ms: 50\r\n"
+        assert (await harness.request(body=b"x" * 100, extra_headers=deadline))[0] == 200
+        (left_ms,) = [line.split(b": ")[1] for line in server.heads[0].split(b"\r\n") if line.startswith(deadline[:20])]
+        assert 1 <= int(left_ms) <= 50
+        assert (await harness.request(body=b"x", extra_headers=b"x-request-timeout-ms: 5\r\n"))[0] == 504
+
+
 async def test_limits_of_head_and_body():
     async with proxy_harness(head=600, body=1000) as harness:
         server = await Server().start(harness.group)
