Blame a server that does not read a body, although the body is unfinished

A client counts as late only if nothing waits to be written to the server. The new test failed before.

--- a/damsonpick/proxy/request_handler.py
+++ b/damsonpick/proxy/request_handler.py
@@ -330,7 +330,7 @@
             reusable = await upstream.forward_response(response)
             return upstream.keep_client_open
         except TimeoutError:
-            body_late = succeeded = not client.body_received()  # the client is at fault, not the server
+            body_late = succeeded = _waits_for_client(client, connection)
             execution = Execution.NOT_SENT if connection is None else Execution.UNKNOWN
             raise AttemptError(execution, self._timeout_reason(request)) from None
         except http.HttpProtocolError:
@@ -338,7 +338,7 @@
             raise
         except ClientDisconnectedError:
             succeeded = True  # the client disconnected, so the server is not at fault
-            body_late = not client.body_received()
+            body_late = _waits_for_client(client, connection)
             raise
         finally:
             now = self.clock.now()
@@ -355,6 +355,11 @@
         self.record("try", id=request_id, kind=request.request_class, slice=request.slice, server=server)
 
 
+def _waits_for_client(client: Client, connection: UpstreamConnection | None) -> bool:
+    """Return whether an attempt waits for the rest of the client's body, and not for a server that does not read."""
+    return not client.body_received() and not (connection is not None and connection.stream.writing_paused)
+
+
 def _failure_status(reason: str) -> int:
     if reason in (TIMED_OUT, DEADLINE_PASSED):
         return 504
--- a/tests/test_proxy_bad_clients.py
+++ b/tests/test_proxy_bad_clients.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import anyio
 import pytest
 
@@ -208,3 +210,20 @@
         assert sum(c.successes for c in counts) == 2 and sum(c.timed_successes for c in counts) == 1
         assert sum(c.failures for c in counts) == 0 and sum(c.latency_ms for c in counts) < 250.0
         await anyio.aclose_forcefully(slow)
+
+
+async def test_a_server_that_reads_no_body_is_to_blame():
+    """Guards against taking the client for slow whose body waits for a server that hangs."""
+    async with proxy_harness() as harness:
+        hanging = socket.create_server(("127.0.0.1", 0))  # takes connections, and reads nothing
+        harness.set_table({f"127.0.0.1:{hanging.getsockname()[1]}": 1000})
+        stream = await harness.connect()
+        with anyio.move_on_after(0.5):
+            await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\ncontent-length: 30000000\r\n\r\n" + bytes(30_000_000))
+        with anyio.fail_after(10.0):
+            while harness.proxy.requests.clients:
+                await anyio.sleep(0.02)
+        counts = [c for by_slice in harness.proxy.requests.take_counts().values() for c in by_slice.attempts.values()]
+        assert sum(c.failures for c in counts) == 1
+        await anyio.aclose_forcefully(stream)
+        hanging.close()
